--- /dev/null
+++ b/drill/src/main.rs
@@ -0,0 +1,319 @@
+//! The decisions on the simulator's wire: decodes events, puts them in our words, hosts one `Control` for each
+//! instance and writes its actions. Decides nothing; instances share nothing.
+
+use serde_json::{json, Map, Value};
+use std::collections::BTreeMap;
+use std::io::{BufRead, Write};
+use std::time::Duration;
+use wellcrank::control::Control;
+use wellcrank::port::*;
+
+/// Wire words for settings, and ours.
+const WORDS: &[(&str, &str)] = &[
+    ("classes", "routes"),
+    ("target_ns", "latency_target"),
+    ("deadline_ns", "client_timeout"),
+    ("credit", "billed_value"),
+    ("contracts", "plans"),
+    ("refill", "rate"),
+    ("store_size", "burst"),
+    ("parallel", "cap"),
+    ("value_factor", "price"),
+    ("excess_cost", "over_cost"),
+    ("extra_worth", "over_value"),
+    ("never_over_rate", "ceiling_rate"),
+    ("cap_depth", "ceiling_burst"),
+    ("hard_slack", "ceiling_slack"),
+    ("ceilings", "limits"),
+    ("family_info", "counter"),
+    ("shared_counter", "present"),
+    ("balancers", "gateways"),
+    ("my_zone", "zone"),
+    ("repeatable", "idempotent"),
+    ("by_key", "tokened"),
+    ("once", "non-idempotent"),
+];
+
+fn ours(word: &str) -> &str {
+    match WORDS.iter().find(|(wire, _)| *wire == word) {
+        Some((_, ours)) => ours,
+        None => word.strip_suffix("_ns").unwrap_or(word),
+    }
+}
+
+/// Flattens the settings into names and values; names in nanoseconds become seconds.
+fn flatten(facts: &mut Facts, path: &str, value: &Value, scale: f64) {
+    let join = |part: &str| {
+        if path.is_empty() {
+            part.to_string()
+        } else {
+            format!("{path}.{part}")
+        }
+    };
+    match value {
+        Value::Object(fields) => {
+            for (word, field) in fields {
+                let scale = if word.ends_with("_ns") { 1e-9 } else { 1.0 };
+                flatten(facts, &join(ours(word)), field, scale);
+            }
+        }
+        Value::Array(items) => {
+            for (place, item) in items.iter().enumerate() {
+                let place = place.to_string();
+                let name = item.get("name").and_then(Value::as_str).unwrap_or(&place);
+                flatten(facts, &join(name), item, scale);
+            }
+        }
+        Value::Number(number) => {
+            facts.insert(path.to_string(), Fact::Number(number.as_f64().unwrap_or(0.0) * scale));
+        }
+        Value::String(text) => {
+            facts.insert(path.to_string(), Fact::Text(ours(text).to_string()));
+        }
+        Value::Bool(flag) => {
+            facts.insert(path.to_string(), Fact::Flag(*flag));
+        }
+        Value::Null => (),
+    }
+}
+
+/// One event's fields, with plain complaints about what is missing.
+struct Fields<'a>(&'a Map<String, Value>);
+
+impl<'a> Fields<'a> {
+    fn maybe(&self, name: &str) -> Option<&'a Value> {
+        self.0.get(name).filter(|value| !value.is_null())
+    }
+    fn need<T>(&self, name: &str, read: impl Fn(&'a Value) -> Option<T>) -> Result<T, String> {
+        let value = self.maybe(name).ok_or_else(|| format!("field '{name}' is missing"))?;
+        read(value).ok_or_else(|| format!("field '{name}' has a wrong value: {value}"))
+    }
+    fn text(&self, name: &str) -> Result<&'a str, String> {
+        self.need(name, Value::as_str)
+    }
+    fn whole(&self, name: &str) -> Result<u64, String> {
+        self.need(name, Value::as_u64)
+    }
+    fn number(&self, name: &str) -> Result<f64, String> {
+        self.need(name, Value::as_f64)
+    }
+    fn time(&self, name: &str) -> Result<Duration, String> {
+        self.whole(name).map(Duration::from_nanos)
+    }
+    fn outcome(&self) -> Result<Outcome, String> {
+        self.need("disposition", |code| {
+            Some(match code.as_str()? {
+                "S" => Outcome::Proxied,
+                "E" => Outcome::ServerError,
+                "F" => Outcome::TurnedAway,
+                "T" => Outcome::TimedOut,
+                "C" => Outcome::NoConnection,
+                "R" => Outcome::Broken,
+                "X" => Outcome::Cancelled,
+                "N" => Outcome::NotSent,
+                _ => return None,
+            })
+        })
+    }
+    fn counted(&self) -> Result<Counted, String> {
+        match self.text("disposition")? {
+            "S" => self.number("total").map(Counted::Total),
+            "F" | "C" => Ok(Counted::NotAdded),
+            "T" => Ok(Counted::Unsure),
+            other => Err(format!("field 'disposition' has a wrong value: \"{other}\"")),
+        }
+    }
+    fn load(&self) -> BTreeMap<String, f64> {
+        let pairs = self.maybe("pressure").and_then(Value::as_object).into_iter().flatten();
+        pairs.filter_map(|(name, value)| Some((name.clone(), value.as_f64()?))).collect()
+    }
+    fn lines(&self) -> Result<Vec<Listed>, String> {
+        let entries = self.need("lines", Value::as_array)?;
+        entries.iter().map(|entry| line(&Fields(entry.as_object().ok_or("an entry is no object")?))).collect()
+    }
+}
+
+fn line(entry: &Fields) -> Result<Listed, String> {
+    Ok(Listed {
+        server: entry.text("server")?.into(),
+        phase: match entry.text("phase")? {
+            "IN" => Phase::Ready,
+            "LAME" => Phase::Draining,
+            "OUT" => Phase::Gone,
+            other => return Err(format!("field 'phase' has a wrong value: \"{other}\"")),
+        },
+        started: entry.time("since_ns").ok().filter(|since| !since.is_zero()),
+        cell: entry.whole("pod").unwrap_or(0),
+        zone: entry.text("region_part").unwrap_or("").to_string(),
+        weight: entry.number("weight").unwrap_or(1.0),
+    })
+}
+
+/// Writes one instance's actions.
+struct Reply<'a> {
+    instance: u64,
+    out: &'a mut String,
+}
+
+impl Reply<'_> {
+    fn act(&mut self, kind: &str, mut fields: Value) {
+        fields["event_type"] = kind.into();
+        fields["i"] = self.instance.into();
+        self.out.push_str(&fields.to_string());
+        self.out.push('\n');
+    }
+}
+
+fn nanos(span: Duration) -> u64 {
+    u64::try_from(span.as_nanos()).unwrap_or(u64::MAX >> 1)
+}
+
+impl Port for Reply<'_> {
+    fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration) {
+        self.act("transmit", json!({"txn": &*call.0, "server": &*server.0, "timeout_ns": nanos(timeout)}));
+    }
+    fn cancel(&mut self, call: &CallId, number: TryNumber) {
+        self.act("undo_send", json!({"txn": &*call.0, "attempt": number.0}));
+    }
+    fn rate_limit(&mut self, call: &CallId, retry_after: Duration) {
+        self.act("turn_away", json!({"txn": &*call.0, "backoff_ns": nanos(retry_after)}));
+    }
+    fn error(&mut self, call: &CallId) {
+        self.act("give_up", json!({"txn": &*call.0}));
+    }
+    fn count(&mut self, name: CounterName, add: f64, keep: Duration) {
+        self.act("bump", json!({"name": name.0, "step": add, "expire_in_ns": nanos(keep)}));
+    }
+    fn wake(&mut self, token: WakeToken, at: Duration) {
+        self.act("defer", json!({"token": token.0, "due_at_ns": nanos(at)}));
+    }
+    fn probe(&mut self, server: &ServerId) {
+        self.act("probe", json!({"server": &*server.0}));
+    }
+    fn subscribe(&mut self, on: bool) {
+        self.act("subscribe", json!({"active": on}));
+    }
+    fn refetch(&mut self) {
+        self.act("refresh", json!({}));
+    }
+    fn release(&mut self, server: &ServerId) {
+        self.act("let_go", json!({"server": &*server.0}));
+    }
+    fn tell(&mut self, peer: Option<u32>, body: &[u8]) {
+        let recipient = peer.map_or(json!("all"), |peer| json!(peer));
+        let hex: String = body.iter().map(|byte| format!("{byte:02x}")).collect();
+        self.act("post", json!({"recipient": recipient, "body": hex}));
+    }
+    fn log(&mut self, text: &str) {
+        self.act("say_log", json!({"reason_text": text}));
+    }
+}
+
+/// Hands one event to its instance. Unknown events and events for unknown instances have no effect.
+fn event(
+    hosted: &mut BTreeMap<u64, Control>,
+    now: Duration,
+    kind: &str,
+    fields: &Fields,
+    out: &mut String,
+) -> Result<(), String> {
+    let instance = match fields.maybe("i") {
+        Some(_) => fields.whole("i")?,
+        None => return Ok(()),
+    };
+    let port = &mut Reply { instance, out };
+    match kind {
+        "open_instance" => {
+            let mut facts = Facts::new();
+            flatten(
+                &mut facts,
+                "",
+                fields.need("config", |config| config.is_object().then_some(config))?,
+                1.0,
+            );
+            hosted.insert(instance, Control::new(facts, fields.whole("salt")?, now, port));
+            return Ok(());
+        }
+        "crash_now" => {
+            hosted.remove(&instance);
+            return Ok(());
+        }
+        _ => (),
+    }
+    let Some(control) = hosted.get_mut(&instance) else {
+        return Ok(());
+    };
+    match kind {
+        "fleet" => match fields.text("scope")? {
+            "X" => control.list_failed(now, port),
+            scope @ ("D" | "F" | "C") => control.listed(now, scope != "D", fields.lines()?),
+            other => return Err(format!("field 'scope' has a wrong value: \"{other}\"")),
+        },
+        "inbound" => {
+            let arrival = Arrival {
+                call: fields.text("txn")?.into(),
+                customer: fields.text("holder").unwrap_or("").into(),
+                plan: fields.text("plan").unwrap_or("").into(),
+                route: fields.text("qos")?.into(),
+                units: fields.number("size_units").unwrap_or(1.0),
+                until: fields.time("valid_until_ns")?,
+                spread: fields.number("spread").unwrap_or(1.0) as u32,
+            };
+            control.arrived(now, port, arrival);
+        }
+        "report_back" => {
+            let end = Ended {
+                outcome: fields.outcome()?,
+                latency: fields.time("lag_ns")?,
+                closed: fields.need("closed", Value::as_bool)?,
+                settled: fields.number("settled").ok().filter(|units| *units > 0.0),
+                load: fields.load(),
+            };
+            let number = TryNumber(fields.whole("attempt")? as u32);
+            control.ended(now, port, &fields.text("txn")?.into(), number, end);
+        }
+        "first_byte" => control.streaming(now, &fields.text("txn")?.into()),
+        "vanished" => control.gone(now, port, &fields.text("txn")?.into()),
+        "wake" => control.woken(now, port, WakeToken(fields.whole("token")?)),
+        "tallied" => {
+            control.counted(now, port, CounterName(fields.whole("name")?), fields.counted()?);
+        }
+        "status_back" => {
+            control.probed(now, &fields.text("server")?.into(), fields.outcome()?, &fields.load());
+        }
+        // Messages from peers say nothing to a design whose gateways meet on the counter only.
+        _ => (),
+    }
+    Ok(())
+}
+
+fn serve() -> Result<(), String> {
+    let mut hosted = BTreeMap::new();
+    let mut now = Duration::ZERO;
+    let mut reply = String::new();
+    let mut output = std::io::stdout().lock();
+    for (place, text) in std::io::stdin().lock().lines().enumerate() {
+        let complain = |what: String| format!("line {}: {what}", place + 1);
+        let text = text.map_err(|error| complain(error.to_string()))?;
+        let value: Value = serde_json::from_str(&text).map_err(|error| complain(error.to_string()))?;
+        let fields = Fields(value.as_object().ok_or_else(|| complain("not an object".into()))?);
+        match fields.text("event_type").map_err(complain)? {
+            "frame" => now = fields.time("wall_ns").map_err(complain)?,
+            "eob" => {
+                reply.push_str("{\"event_type\":\"finished\"}\n");
+                let sent = output.write_all(reply.as_bytes()).and_then(|()| output.flush());
+                sent.map_err(|error| format!("cannot write a reply: {error}"))?;
+                reply.clear();
+            }
+            kind => event(&mut hosted, now, kind, &fields, &mut reply).map_err(complain)?,
+        }
+    }
+    Ok(())
+}
+
+fn main() {
+    if let Err(complaint) = serve() {
+        eprintln!("wellcrank-drill: {complaint}");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/src/port.rs
@@ -0,0 +1,124 @@
+//! The interface between the decisions and whatever carries them: today the drill on the simulator's wire,
+//! later a socket edge node, an external processor, external authorisation or plan-and-apply files.
+//! A carrier turns its protocol's events into calls on [`crate::control::Control`] and implements [`Port`].
+//! All times are spans since the start of the carrier's clock.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+macro_rules! id {
+    ($($name:ident),*) => {$(
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
+        pub struct $name(pub Rc<str>);
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                $name(Rc::from(text))
+            }
+        }
+    )*};
+}
+id!(CallId, ServerId, CustomerId, RouteName, PlanName);
+
+/// A number on the shared counter; names are whole numbers below 2^63.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct CounterName(pub u64);
+
+/// One upstream try of an API call, counted from 0.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct TryNumber(pub u32);
+
+/// What a carrier may ask to be woken with.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct WakeToken(pub u64);
+
+/// Settings: names to values. Nested names are joined by dots; a list's element goes by its own name where it
+/// has one and by its place otherwise (`plans.basic.rate`, `zones.0`). Spans are in seconds.
+pub type Facts = BTreeMap<String, Fact>;
+
+#[derive(Clone, PartialEq, Debug)]
+pub enum Fact {
+    Number(f64),
+    Text(String),
+    Flag(bool),
+}
+
+/// How an upstream try or a probe ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Outcome {
+    Proxied,
+    ServerError,
+    TurnedAway,
+    TimedOut,
+    NoConnection,
+    Broken,
+    Cancelled,
+    NotSent,
+}
+
+/// The answer to one counter call; `Unsure` may or may not have been added.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Counted {
+    Total(f64),
+    NotAdded,
+    Unsure,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Phase {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the server list.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub server: ServerId,
+    pub phase: Phase,
+    pub started: Option<Duration>,
+    pub cell: u64,
+    pub zone: String,
+    pub weight: f64,
+}
+
+/// An API call as it comes in.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub call: CallId,
+    pub customer: CustomerId,
+    pub plan: PlanName,
+    pub route: RouteName,
+    pub units: f64,
+    pub until: Duration,
+    /// How many gateways may get this customer's API calls.
+    pub spread: u32,
+}
+
+/// The end of an upstream try.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    pub outcome: Outcome,
+    pub latency: Duration,
+    /// The API call has its final answer, through this outcome or before.
+    pub closed: bool,
+    /// The true units where they are settled afterwards.
+    pub settled: Option<f64>,
+    pub load: BTreeMap<String, f64>,
+}
+
+/// What the decisions may do.
+pub trait Port {
+    fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration);
+    fn cancel(&mut self, call: &CallId, number: TryNumber);
+    fn rate_limit(&mut self, call: &CallId, retry_after: Duration);
+    fn error(&mut self, call: &CallId);
+    fn count(&mut self, name: CounterName, add: f64, keep: Duration);
+    fn wake(&mut self, token: WakeToken, at: Duration);
+    fn probe(&mut self, server: &ServerId);
+    fn subscribe(&mut self, on: bool);
+    fn refetch(&mut self);
+    fn release(&mut self, server: &ServerId);
+    fn tell(&mut self, peer: Option<u32>, body: &[u8]);
+    fn log(&mut self, text: &str);
+}
