Edges staggered by customer, stores followed from totals, room per server

Cause: all customers renewed at one instant, so the counter timed out and was skipped; tries were counted out for ever.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -2,8 +2,10 @@
 //! instance and writes its actions. Decides nothing; instances share nothing.
 
 use serde_json::{json, Map, Value};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
+use std::rc::Rc;
 use std::time::Duration;
 use wellcrank::control::Control;
 use wellcrank::port::*;
@@ -149,18 +151,19 @@
     })
 }
 
-/// Writes one instance's actions.
-struct Reply<'a> {
+/// Writes one instance's actions to the reply that all share.
+struct Reply {
     instance: u64,
-    out: &'a mut String,
+    out: Rc<RefCell<String>>,
 }
 
-impl Reply<'_> {
+impl Reply {
     fn act(&mut self, kind: &str, mut fields: Value) {
         fields["event_type"] = kind.into();
         fields["i"] = self.instance.into();
-        self.out.push_str(&fields.to_string());
-        self.out.push('\n');
+        let mut out = self.out.borrow_mut();
+        out.push_str(&fields.to_string());
+        out.push('\n');
     }
 }
 
@@ -168,7 +171,7 @@
     u64::try_from(span.as_nanos()).unwrap_or(u64::MAX >> 1)
 }
 
-impl Port for Reply<'_> {
+impl Port for Reply {
     fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration) {
         self.act("transmit", json!({"txn": &*call.0, "server": &*server.0, "timeout_ns": nanos(timeout)}));
     }
@@ -215,13 +218,12 @@
     now: Duration,
     kind: &str,
     fields: &Fields,
-    out: &mut String,
+    out: &Rc<RefCell<String>>,
 ) -> Result<(), String> {
     let instance = match fields.maybe("i") {
         Some(_) => fields.whole("i")?,
         None => return Ok(()),
     };
-    let port = &mut Reply { instance, out };
     match kind {
         "open_instance" => {
             let mut facts = Facts::new();
@@ -231,7 +233,8 @@
                 fields.need("config", |config| config.is_object().then_some(config))?,
                 1.0,
             );
-            hosted.insert(instance, Control::new(facts, fields.whole("salt")?, now, port));
+            let port = Reply { instance, out: out.clone() };
+            hosted.insert(instance, Control::new(facts, fields.whole("salt")?, now, Box::new(port)));
             return Ok(());
         }
         "crash_now" => {
@@ -245,7 +248,7 @@
     };
     match kind {
         "fleet" => match fields.text("scope")? {
-            "X" => control.list_failed(now, port),
+            "X" => control.list_failed(now),
             scope @ ("D" | "F" | "C") => control.listed(now, scope != "D", fields.lines()?),
             other => return Err(format!("field 'scope' has a wrong value: \"{other}\"")),
         },
@@ -259,7 +262,7 @@
                 until: fields.time("valid_until_ns")?,
                 spread: fields.number("spread").unwrap_or(1.0) as u32,
             };
-            control.arrived(now, port, arrival);
+            control.arrived(now, arrival);
         }
         "report_back" => {
             let end = Ended {
@@ -270,13 +273,13 @@
                 load: fields.load(),
             };
             let number = TryNumber(fields.whole("attempt")? as u32);
-            control.ended(now, port, &fields.text("txn")?.into(), number, end);
+            control.ended(now, &fields.text("txn")?.into(), number, end);
         }
         "first_byte" => control.streaming(now, &fields.text("txn")?.into()),
-        "vanished" => control.gone(now, port, &fields.text("txn")?.into()),
-        "wake" => control.woken(now, port, WakeToken(fields.whole("token")?)),
+        "vanished" => control.gone(now, &fields.text("txn")?.into()),
+        "wake" => control.woken(now, WakeToken(fields.whole("token")?)),
         "tallied" => {
-            control.counted(now, port, CounterName(fields.whole("name")?), fields.counted()?);
+            control.counted(now, CounterName(fields.whole("name")?), fields.counted()?);
         }
         "status_back" => {
             control.probed(now, &fields.text("server")?.into(), fields.outcome()?, &fields.load());
@@ -290,7 +293,7 @@
 fn serve() -> Result<(), String> {
     let mut hosted = BTreeMap::new();
     let mut now = Duration::ZERO;
-    let mut reply = String::new();
+    let reply = Rc::new(RefCell::new(String::new()));
     let mut output = std::io::stdout().lock();
     for (place, text) in std::io::stdin().lock().lines().enumerate() {
         let complain = |what: String| format!("line {}: {what}", place + 1);
@@ -300,12 +303,12 @@
         match fields.text("event_type").map_err(complain)? {
             "frame" => now = fields.time("wall_ns").map_err(complain)?,
             "eob" => {
-                reply.push_str("{\"event_type\":\"finished\"}\n");
-                let sent = output.write_all(reply.as_bytes()).and_then(|()| output.flush());
+                reply.borrow_mut().push_str("{\"event_type\":\"finished\"}\n");
+                let sent = output.write_all(reply.borrow().as_bytes()).and_then(|()| output.flush());
                 sent.map_err(|error| format!("cannot write a reply: {error}"))?;
-                reply.clear();
+                reply.borrow_mut().clear();
             }
-            kind => event(&mut hosted, now, kind, &fields, &mut reply).map_err(complain)?,
+            kind => event(&mut hosted, now, kind, &fields, &reply).map_err(complain)?,
         }
     }
     Ok(())
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,34 +1,35 @@
-//! All decisions of one gateway. A carrier makes a `Control` with the settings, a seed and the time, then hands it
-//! events through its public functions: `listed`, `arrived`, `counted`, `ended`, `gone`, `woken`. Control answers
-//! through the `Port` it is handed; both sides of that interface are described in `port.rs`.
+//! All decisions of one gateway. A carrier makes a `Control` with the settings, a seed and a `Port`, then hands it
+//! events through its public functions: `listed`, `arrived`, `counted`, `ended`, `gone`, `woken` and so on. Control
+//! answers through the `Port`. Both sides of that interface are described in `port.rs`.
 //!
-//! An API call goes arrived -> afford (is the rate quota known to be spent?) -> hold (add 1 on the counter) ->
-//! charge (units from a block) -> send -> ended -> retry or answer. Each step leaves a closure (`Next`) that is
-//! handed the step's result.
+//! An API call goes arrived -> hold (add 1 on the counter) -> charge (units from a block) -> send -> over ->
+//! another hold or the answer. Each step leaves a closure (`Next`) that is handed the step's result.
 
 use crate::port::*;
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, VecDeque};
-use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
 const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
-/// Hold lifetime: the period of a holds' name.
+/// Hold lifetime: the period of a holds' name, and how long before its edge open holds go into the next name.
 const PERIOD: Duration = ms(3000);
-/// How long before the period's edge open holds are added to the next name.
-const RENEW_AHEAD: Duration = ms(200);
+const RENEW_AHEAD: Duration = ms(100);
 /// How long the counter is left alone after it erred or lagged.
 const SKIP: Duration = ms(15_000);
 /// Advice: this much per call ahead, at most so much.
-const ADVICE: (Duration, Duration) = (ms(5000), ms(30_000));
+const ADVICE: Duration = ms(5000);
+const LONGEST_ADVICE: Duration = ms(30_000);
 /// The one periodic timer.
 const TICK: Duration = ms(50);
-/// A block is what recent demand asks for in this share of a window.
-const BLOCK_SHARE: f64 = 0.25;
-/// Distrust halves in this time.
+/// Distrust halves in this many seconds.
 const DISTRUST_HALF: f64 = 4.0;
+/// Tries open at a server to start with, and the share of the latency target that answers should stay under.
+const ROOM: f64 = 8.0;
+const QUICK: f64 = 0.5;
+/// The part of a cold server's budget that is used.
+const COLD_SHARE: f64 = 0.4;
 /// A further try is paid from this share of the API calls taken.
 const TRY_SHARE: f64 = 0.2;
 /// A try that may be repeated is given this share of what is left to the latency target.
@@ -38,10 +39,10 @@
 const DUE_TOKEN: WakeToken = WakeToken(2);
 
 /// What a step leaves behind.
-type Next<R> = Box<dyn FnOnce(&mut Control, &mut dyn Port, R)>;
+type Next<R> = Box<dyn FnOnce(&mut Control, R)>;
 
-/// What became of asking for a hold.
-#[derive(Clone, Copy, PartialEq, Debug)]
+/// What became of asking for a hold; `Full` tells how many calls are ahead.
+#[derive(Clone, Copy, PartialEq)]
 enum Hold {
     Counted(u64),
     Uncounted,
@@ -49,14 +50,11 @@
 }
 
 struct Call {
-    customer: CustomerId,
-    plan: PlanName,
-    route: RouteName,
-    units: f64,
+    arrival: Arrival,
     born: Duration,
-    until: Duration,
     tries: u32,
-    out: Option<(TryNumber, ServerId)>,
+    out: Option<TryNumber>,
+    last: Option<ServerId>,
     /// When and where the first try that may have run was sent.
     ran: Option<(Duration, ServerId)>,
 }
@@ -64,24 +62,32 @@
 struct Server {
     listed: Listed,
     open: u32,
-    /// Latency against the route's usual one, as a moving mean, and when it was last moved.
+    /// Latency against the route's usual one, as a moving mean.
     pace: f64,
     distrust: f64,
     faded: Duration,
+    /// How many tries this gateway may have open here: grows while answers are quick, shrinks when they are not.
+    room: f64,
+    cut: Duration,
+    /// Recent sends, by which a cold server's budget is kept.
+    sent: VecDeque<Duration>,
 }
 
 #[derive(Default)]
 struct Account {
     spread: f64,
-    /// Open holds, each with the periods in whose names it is counted.
+    /// Tries out through this gateway, counted or not.
+    open: f64,
+    /// Open holds, each with the periods in whose names it is counted, and the period last renewed into.
     holds: BTreeMap<u64, Vec<u64>>,
-    /// The period for whose name the open holds were last added.
     renewed: u64,
-    /// Units in hand, the window they were last taken in, what was seen of that window and of the one before.
+    /// Units in hand, taken from a window's name.
     block: f64,
+    /// The customer's store as the totals show it: its units, the window and total last seen, and when.
+    store: f64,
     window: u64,
     total: f64,
-    debt: f64,
+    seen: Duration,
     /// Recent demand in units a second.
     demand: f64,
     asked: Duration,
@@ -91,14 +97,25 @@
     share: Option<(f64, Duration)>,
 }
 
+impl Account {
+    /// The store refills at the rate, and gives what the total shows taken since the last look.
+    fn follow(&mut self, total: f64, now: Duration, rate: f64, burst: f64) {
+        let refill = now.saturating_sub(self.seen).as_secs_f64() * rate;
+        self.store = (self.store + refill - (total - self.total).max(0.0)).min(burst);
+        (self.total, self.seen) = (total, now);
+    }
+}
+
 pub struct Control {
     facts: Facts,
+    port: Box<dyn Port>,
     rng: WyRand,
     now: Duration,
     started: Duration,
     servers: BTreeMap<ServerId, Server>,
     calls: BTreeMap<CallId, Call>,
     accounts: BTreeMap<CustomerId, Account>,
+    /// What waits: for answers of the counter, for ends of upstream tries, for a time.
     counts: BTreeMap<CounterName, VecDeque<Next<Counted>>>,
     tries: BTreeMap<(CallId, TryNumber), Next<Ended>>,
     due: BTreeMap<(Duration, u64), Next<()>>,
@@ -109,12 +126,15 @@
     /// Usual latency of each route, in seconds.
     usual: BTreeMap<RouteName, f64>,
     try_budget: f64,
+    /// Answers a second from warm servers, fading over ten seconds, and when it was last faded.
+    done: (f64, Duration),
 }
 
 impl Control {
-    pub fn new(facts: Facts, seed: u64, now: Duration, port: &mut dyn Port) -> Self {
+    pub fn new(facts: Facts, seed: u64, now: Duration, port: Box<dyn Port>) -> Self {
         let mut control = Control {
             facts,
+            port,
             rng: WyRand::new_seed(seed),
             now,
             started: now,
@@ -130,10 +150,11 @@
             skip_until: Duration::ZERO,
             usual: BTreeMap::new(),
             try_budget: 3.0,
+            done: (0.0, now),
         };
-        port.wake(TICK_TOKEN, control.next_tick);
+        control.port.wake(TICK_TOKEN, control.next_tick);
         if control.text("registry_mode") == "subscribe" {
-            port.subscribe(true);
+            control.port.subscribe(true);
         }
         if !control.flag("counter.present") {
             control.skip_until = Duration::MAX;
@@ -150,6 +171,10 @@
         }
     }
 
+    fn span(&self, name: &str) -> Duration {
+        Duration::from_secs_f64(self.number(name).max(0.0))
+    }
+
     fn text(&self, name: &str) -> &str {
         match self.facts.get(name) {
             Some(Fact::Text(text)) => text,
@@ -173,14 +198,17 @@
         self.text(&format!("routes.{}.repeat", route.0))
     }
 
+    fn group(&self, route: &RouteName) -> &str {
+        self.text(&format!("routes.{}.group", route.0))
+    }
+
     /// The cap on upstream tries out at once; a plan that states none is counted under a generous one: all that
-    /// its burst and its rate can put out within the longest latency target.
+    /// its burst and two seconds of its rate could put out.
     fn cap(&self, plan: &PlanName) -> f64 {
-        let stated = self.plan(plan, "cap");
-        if stated > 0.0 {
-            return stated;
+        match self.plan(plan, "cap") {
+            stated if stated > 0.0 => stated,
+            _ => (self.plan(plan, "burst") + self.plan(plan, "rate") * 2.0).max(4.0).ceil(),
         }
-        (self.plan(plan, "burst") + self.plan(plan, "rate") * 2.0).max(4.0).ceil()
     }
 
     // ---- events ----
@@ -191,104 +219,98 @@
         if whole {
             self.servers.retain(|id, _| lines.iter().any(|line| line.server == *id));
         }
-        for line in lines {
-            let fresh = Server { listed: line.clone(), open: 0, pace: 1.0, distrust: 0.0, faded: now };
-            match self.servers.get_mut(&line.server) {
-                _ if line.phase == Phase::Gone => drop(self.servers.remove(&line.server)),
-                Some(known) if known.listed.started == line.started => known.listed = line,
-                Some(known) => *known = Server { open: known.open, ..fresh },
-                None => drop(self.servers.insert(line.server.clone(), fresh)),
-            }
+        for listed in lines {
+            let (id, known) = (listed.server.clone(), self.servers.remove(&listed.server));
+            let server = match known {
+                _ if listed.phase == Phase::Gone => continue,
+                Some(known) if known.listed.started == listed.started => Server { listed, ..known },
+                known => Server {
+                    listed,
+                    open: known.map_or(0, |known| known.open),
+                    pace: 1.0,
+                    distrust: 0.0,
+                    faded: now,
+                    room: ROOM,
+                    cut: now,
+                    sent: VecDeque::new(),
+                },
+            };
+            self.servers.insert(id, server);
         }
     }
 
-    pub fn arrived(&mut self, now: Duration, port: &mut dyn Port, arrival: Arrival) {
+    /// A call for the server list failed or the subscription broke: it is asked for again.
+    pub fn list_failed(&mut self, now: Duration) {
+        self.now = now;
+        self.at(now + ms(500), Box::new(|c, ()| c.port.subscribe(true)));
+    }
+
+    pub fn arrived(&mut self, now: Duration, arrival: Arrival) {
         self.now = now;
+        let (rate, burst) = (self.plan(&arrival.plan, "rate"), self.plan(&arrival.plan, "burst"));
         let account = self.accounts.entry(arrival.customer.clone()).or_default();
         account.spread = f64::from(arrival.spread.max(1));
-        let idle = (now - account.asked.min(now)).as_secs_f64();
-        account.demand = account.demand * (-idle / 2.0).exp() + arrival.units / 2.0;
+        let window = if rate > 0.0 { burst / rate } else { 1.0 };
+        let idle = now.saturating_sub(account.asked).as_secs_f64();
+        account.demand = account.demand * (-idle / window).exp() + arrival.units / window;
         account.asked = now;
+        let spent = account.refused_until > now;
         self.try_budget = (self.try_budget + TRY_SHARE).min(10.0);
-        let call = arrival.call.clone();
-        let first = Call {
-            customer: arrival.customer,
-            plan: arrival.plan,
-            route: arrival.route,
-            units: arrival.units,
-            born: now,
-            until: arrival.until,
-            tries: 0,
-            out: None,
-            ran: None,
-        };
-        self.calls.insert(call.clone(), first);
+        let (call, timed) = (arrival.call.clone(), arrival.call.clone());
         let last = arrival.until.saturating_sub(self.span("resolution") * 2).max(now);
-        let timed = call.clone();
-        self.at(port, last, Box::new(move |control, port, ()| control.answer(port, &timed)));
-        if self.accounts[&self.calls[&call].customer].refused_until > now {
-            return self.answer(port, &call);
+        let fresh = Call { arrival, born: now, tries: 0, out: None, last: None, ran: None };
+        self.calls.insert(call.clone(), fresh);
+        self.at(last, Box::new(move |c, ()| c.answer(&timed, 1.0)));
+        if spent {
+            return self.answer(&call, 1.0);
         }
-        let asked = call.clone();
-        let held = move |control: &mut Control, port: &mut dyn Port, hold| control.held(port, asked, hold);
-        self.hold(port, &call, Box::new(held));
+        let (asked, customer) = (call.clone(), self.calls[&call].arrival.customer.clone());
+        self.hold(&call, Box::new(move |c, hold| c.held(asked, customer, hold)));
     }
 
-    /// The first try's hold was counted, skipped or refused.
-    fn held(&mut self, port: &mut dyn Port, call: CallId, hold: Hold) {
-        if let Hold::Full(_) = hold {
-            return self.answer(port, &call);
+    /// The first try's hold was counted, skipped or refused: only now units are charged.
+    fn held(&mut self, call: CallId, customer: CustomerId, hold: Hold) {
+        if let Hold::Full(ahead) = hold {
+            return self.answer(&call, ahead);
         }
         let paid = call.clone();
-        let charged = move |control: &mut Control, port: &mut dyn Port, enough: bool| {
-            if enough {
-                control.send(port, paid, hold);
-            } else {
-                control.release(port, &paid, hold);
-                control.answer(port, &paid);
+        let charged = move |c: &mut Control, enough| match enough {
+            true => c.send(paid, customer, hold),
+            false => {
+                c.release(&customer, hold);
+                c.answer(&paid, 1.0);
             }
         };
-        self.charge(port, &call, hold == Hold::Uncounted, Box::new(charged));
+        self.charge(&call, hold == Hold::Uncounted, Box::new(charged));
     }
 
-    pub fn counted(&mut self, now: Duration, port: &mut dyn Port, name: CounterName, counted: Counted) {
+    pub fn counted(&mut self, now: Duration, name: CounterName, counted: Counted) {
         self.now = now;
         if !matches!(counted, Counted::Total(_)) {
             self.skip_until = self.skip_until.max(now + SKIP);
         }
-        let Some(line) = self.counts.get_mut(&name) else {
-            return;
-        };
+        let Some(line) = self.counts.get_mut(&name) else { return };
         let next = line.pop_front();
         if line.is_empty() {
             self.counts.remove(&name);
         }
         if let Some(next) = next {
-            next(self, port, counted);
+            next(self, counted);
         }
     }
 
-    pub fn ended(
-        &mut self,
-        now: Duration,
-        port: &mut dyn Port,
-        call: &CallId,
-        number: TryNumber,
-        end: Ended,
-    ) {
+    pub fn ended(&mut self, now: Duration, call: &CallId, number: TryNumber, end: Ended) {
         self.now = now;
         if let Some(next) = self.tries.remove(&(call.clone(), number)) {
-            next(self, port, end);
+            next(self, end);
         }
     }
 
     /// The client has left.
-    pub fn gone(&mut self, now: Duration, port: &mut dyn Port, call: &CallId) {
+    pub fn gone(&mut self, now: Duration, call: &CallId) {
         self.now = now;
-        if let Some(left) = self.calls.remove(call) {
-            if let Some((number, _)) = left.out {
-                self.cancel(port, call, number);
-            }
+        if let Some(Call { out: Some(number), .. }) = self.calls.remove(call) {
+            self.cancel(call, number);
         }
     }
 
@@ -302,120 +324,105 @@
         self.now = now;
     }
 
-    /// A call for the server list failed or the subscription broke: it is asked for again.
-    pub fn list_failed(&mut self, now: Duration, port: &mut dyn Port) {
-        self.now = now;
-        self.at(port, now + ms(500), Box::new(|_, port, ()| port.subscribe(true)));
-    }
-
-    pub fn woken(&mut self, now: Duration, port: &mut dyn Port, token: WakeToken) {
+    pub fn woken(&mut self, now: Duration, token: WakeToken) {
         self.now = now;
         if token == TICK_TOKEN && now >= self.next_tick {
             self.next_tick = now + TICK;
-            port.wake(TICK_TOKEN, self.next_tick);
-            self.renew(port);
+            self.port.wake(TICK_TOKEN, self.next_tick);
+            self.renew();
         }
         while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= now) {
-            entry.remove()(self, port, ());
+            entry.remove()(self, ());
         }
-        if let Some((at, _)) = self.due.keys().next() {
-            if token == DUE_TOKEN || *at < self.next_due {
-                self.next_due = *at;
-                port.wake(DUE_TOKEN, *at);
+        let next = self.due.keys().next().map_or(Duration::MAX, |(at, _)| *at);
+        if token == DUE_TOKEN || next < self.next_due {
+            self.next_due = next;
+            if next < Duration::MAX {
+                self.port.wake(DUE_TOKEN, next);
             }
-        } else if token == DUE_TOKEN {
-            self.next_due = Duration::MAX;
         }
     }
 
-    fn at(&mut self, port: &mut dyn Port, when: Duration, next: Next<()>) {
+    fn at(&mut self, when: Duration, next: Next<()>) {
         self.next_id += 1;
         self.due.insert((when, self.next_id), next);
         if when < self.next_due {
             self.next_due = when;
-            port.wake(DUE_TOKEN, when);
+            self.port.wake(DUE_TOKEN, when);
         }
     }
 
-    fn span(&self, name: &str) -> Duration {
-        Duration::from_secs_f64(self.number(name).max(0.0))
-    }
-
     // ---- the counter ----
 
-    fn name(&self, customer: &CustomerId, kind: u8, number: u64) -> CounterName {
-        let mut hash = Fnv(0xcbf2_9ce4_8422_2325);
-        (&*customer.0, kind, number).hash(&mut hash);
-        CounterName(hash.finish() >> 1)
-    }
-
-    fn add(&mut self, port: &mut dyn Port, name: CounterName, add: f64, keep: Duration, next: Next<Counted>) {
-        self.counts.entry(name).or_default().push_back(next);
-        port.count(name, add, keep);
+    /// A customer's number of a stretch of time, and when that began. Each customer's edges fall at a time of
+    /// its own, so that not all gateways renew all customers at one instant.
+    fn stretch(&self, customer: &CustomerId, length: Duration, at: Duration) -> (u64, Duration) {
+        let length = length.as_nanos() as u64;
+        let shift = fixed_hash(&customer.0, 0, 0) % length;
+        let number = (at.as_nanos() as u64 + shift) / length;
+        (number, Duration::from_nanos((number * length).saturating_sub(shift)))
     }
 
     fn skipping(&self) -> bool {
         self.now < self.skip_until
     }
 
-    // ---- holds: the customer's tries out at once ----
-
-    fn period(&self) -> u64 {
-        (self.now.as_nanos() / PERIOD.as_nanos()) as u64
+    fn add(&mut self, name: CounterName, add: f64, keep: Duration, next: Next<Counted>) {
+        self.counts.entry(name).or_default().push_back(next);
+        self.port.count(name, add, keep);
     }
 
-    fn add_hold(
-        &mut self,
-        port: &mut dyn Port,
-        customer: &CustomerId,
-        period: u64,
-        by: f64,
-        next: Next<Counted>,
-    ) {
-        let name = self.name(customer, 0, period);
-        self.add(port, name, by, PERIOD * 2, next);
+    // ---- holds: the customer's tries out at once ----
+
+    fn add_hold(&mut self, customer: &CustomerId, period: u64, by: f64, next: Next<Counted>) {
+        self.add(CounterName(fixed_hash(&customer.0, 1, period)), by, PERIOD * 2, next);
     }
 
     /// Step 2: adds one and waits for the total. The hold is kept by the account until it is released.
-    fn hold(&mut self, port: &mut dyn Port, call: &CallId, next: Next<Hold>) {
-        if self.skipping() {
-            return next(self, port, Hold::Uncounted);
-        }
-        let (customer, cap) = {
-            let asked = &self.calls[call];
-            (asked.customer.clone(), self.cap(&asked.plan))
-        };
-        let period = self.period();
+    fn hold(&mut self, call: &CallId, next: Next<Hold>) {
+        let arrival = &self.calls[call].arrival;
+        let (customer, cap) = (arrival.customer.clone(), self.cap(&arrival.plan));
+        let account = self.accounts.entry(customer.clone()).or_default();
+        account.open += 1.0;
+        // In silence a gateway's own tries stay in its share of the cap, as its units do.
+        let over_share = account.open > (cap / account.spread).ceil();
         self.next_id += 1;
-        let id = self.next_id;
-        let owner = customer.clone();
-        let told = move |control: &mut Control, port: &mut dyn Port, counted| match counted {
-            Counted::Total(total) if total > cap => {
-                control.add_hold(port, &owner, period, -1.0, Box::new(|_, _, _| ()));
-                next(control, port, Hold::Full(total - cap));
+        let (id, owner) = (self.next_id, customer.clone());
+        let period = self.stretch(&customer, PERIOD, self.now).0;
+        let told = move |c: &mut Control, counted| {
+            let now = c.stretch(&owner, PERIOD, c.now).0;
+            let account = c.accounts.entry(owner.clone()).or_default();
+            let hold = match counted {
+                Counted::Total(total) if total > cap => Hold::Full(total - cap),
+                Counted::Total(_) => Hold::Counted(id),
+                _ if over_share => Hold::Full(1.0),
+                _ => Hold::Uncounted,
+            };
+            let renewed = account.renewed.max(now);
+            match (hold, counted) {
+                (Hold::Full(_), _) => account.open -= 1.0,
+                (Hold::Counted(_), _) => drop(account.holds.insert(id, vec![period])),
+                _ => (),
             }
-            Counted::Total(_) => {
-                let account = control.accounts.entry(owner.clone()).or_default();
-                account.holds.insert(id, vec![period]);
-                let renewed = account.renewed.max(control.period());
-                if renewed > period {
-                    control.count_in(port, &owner, renewed, vec![id]);
-                }
-                next(control, port, Hold::Counted(id));
+            match (hold, counted) {
+                (Hold::Full(_), Counted::Total(_)) => c.add_hold(&owner, period, -1.0, Box::new(|_, _| ())),
+                (Hold::Counted(_), _) if renewed > period => c.count_in(&owner, renewed, vec![id]),
+                _ => (),
             }
-            _ => next(control, port, Hold::Uncounted),
+            next(c, hold);
         };
-        self.add_hold(port, &customer, period, 1.0, Box::new(told));
+        if self.skipping() {
+            return told(self, Counted::NotAdded);
+        }
+        self.add_hold(&customer, period, 1.0, Box::new(told));
     }
 
     /// Adds holds to a further period's name; those that ended before the answer are taken off again.
-    fn count_in(&mut self, port: &mut dyn Port, customer: &CustomerId, period: u64, ids: Vec<u64>) {
+    fn count_in(&mut self, customer: &CustomerId, period: u64, ids: Vec<u64>) {
         let (owner, sum) = (customer.clone(), ids.len() as f64);
-        let told = move |control: &mut Control, port: &mut dyn Port, counted| {
-            if !matches!(counted, Counted::Total(_)) {
-                return;
-            }
-            let account = control.accounts.entry(owner.clone()).or_default();
+        let told = move |c: &mut Control, counted| {
+            let Counted::Total(_) = counted else { return };
+            let account = c.accounts.entry(owner.clone()).or_default();
             let mut over = 0.0;
             for id in ids {
                 match account.holds.get_mut(&id) {
@@ -424,149 +431,134 @@
                 }
             }
             if over > 0.0 {
-                control.add_hold(port, &owner, period, -over, Box::new(|_, _, _| ()));
+                c.add_hold(&owner, period, -over, Box::new(|_, _| ()));
             }
         };
-        self.add_hold(port, customer, period, sum, Box::new(told));
+        self.add_hold(customer, period, sum, Box::new(told));
     }
 
     /// Step 4: before the period's edge the open holds go into the next name, once.
-    fn renew(&mut self, port: &mut dyn Port) {
-        let next = ((self.now + RENEW_AHEAD).as_nanos() / PERIOD.as_nanos()) as u64;
-        if self.skipping() || next == self.period() {
+    fn renew(&mut self) {
+        if self.skipping() {
             return;
         }
-        let mut open = Vec::new();
-        for (customer, account) in self.accounts.iter_mut().filter(|(_, account)| account.renewed < next) {
-            account.renewed = next;
-            if !account.holds.is_empty() {
-                open.push((customer.clone(), account.holds.keys().copied().collect()));
+        let customers: Vec<CustomerId> = self.accounts.keys().cloned().collect();
+        for customer in customers {
+            let next = self.stretch(&customer, PERIOD, self.now + RENEW_AHEAD).0;
+            let account = self.accounts.get_mut(&customer).expect("listed above");
+            if account.renewed < next && !account.holds.is_empty() {
+                let missing = account.holds.iter().filter(|(_, periods)| !periods.contains(&next));
+                let ids: Vec<u64> = missing.map(|(id, _)| *id).collect();
+                if !ids.is_empty() {
+                    self.count_in(&customer, next, ids);
+                }
             }
-        }
-        for (customer, ids) in open {
-            self.count_in(port, &customer, next, ids);
+            self.accounts.get_mut(&customer).expect("listed above").renewed = next;
         }
     }
 
     /// Step 3: any end takes one off every live name in which the hold was counted.
-    fn release(&mut self, port: &mut dyn Port, call: &CallId, hold: Hold) {
-        if let Some(customer) = self.calls.get(call).map(|call| call.customer.clone()) {
-            self.release_for(port, &customer, hold);
-        }
-    }
-
-    fn release_for(&mut self, port: &mut dyn Port, customer: &CustomerId, hold: Hold) {
+    fn release(&mut self, customer: &CustomerId, hold: Hold) {
+        let now = self.stretch(customer, PERIOD, self.now).0;
+        let account = self.accounts.entry(customer.clone()).or_default();
+        account.open -= 1.0;
         let Hold::Counted(id) = hold else { return };
-        let now = self.period();
-        let Some(account) = self.accounts.get_mut(customer) else {
-            return;
-        };
         let periods = account.holds.remove(&id).unwrap_or_default();
-        if self.skipping() {
-            return;
-        }
-        for period in periods.into_iter().filter(|period| *period >= now) {
-            self.add_hold(port, customer, period, -1.0, Box::new(|_, _, _| ()));
+        if !self.skipping() {
+            for period in periods.into_iter().filter(|period| *period >= now) {
+                self.add_hold(customer, period, -1.0, Box::new(|_, _| ()));
+            }
         }
     }
 
     // ---- the rate quota ----
 
     /// Takes the call's units from the block in hand, from a new block, or in silence from the even split.
-    fn charge(&mut self, port: &mut dyn Port, call: &CallId, silent: bool, next: Next<bool>) {
-        let Some(asked) = self.calls.get(call) else {
-            return next(self, port, false);
-        };
-        let (customer, plan, units) = (asked.customer.clone(), asked.plan.clone(), asked.units);
+    fn charge(&mut self, call: &CallId, silent: bool, next: Next<bool>) {
+        let Some(Call { arrival, .. }) = self.calls.get(call) else { return next(self, false) };
+        let (customer, plan, units) = (arrival.customer.clone(), arrival.plan.clone(), arrival.units);
         let (rate, burst) = (self.plan(&plan, "rate"), self.plan(&plan, "burst"));
-        if rate <= 0.0 {
-            return next(self, port, true);
-        }
-        let (now, skipping) = (self.now, silent || self.skipping());
-        let started = self.started;
+        let (now, silent) = (self.now, silent || self.skipping());
+        // Under a hard ceiling a restarted gateway's share starts empty: its earlier life may have spent it.
         let hard = self.plan(&plan, "ceiling_rate") > 0.0;
         let account = self.accounts.entry(customer.clone()).or_default();
-        if account.block >= units {
-            account.block -= units;
-            return next(self, port, true);
-        }
-        if skipping {
-            let spread = account.spread;
-            let full = burst / spread;
-            let fresh = if hard { (0.0, started) } else { (full, now) };
-            let (left, since) = account.share.unwrap_or(fresh);
-            let left = (left + (now - since).as_secs_f64() * rate / spread).min(full.max(units));
+        if rate <= 0.0 || account.block >= units {
+            account.block -= if rate > 0.0 { units } else { 0.0 };
+            return next(self, true);
+        }
+        if silent {
+            let full = burst / account.spread;
+            let (left, since) = account.share.unwrap_or(if hard { (0.0, self.started) } else { (full, now) });
+            let left = (left + (now - since).as_secs_f64() * rate / account.spread).min(full.max(units));
             let enough = left >= units;
             account.share = Some((if enough { left - units } else { left }, now));
-            return next(self, port, enough);
+            return next(self, enough);
         }
         account.share = None;
         let again = call.clone();
-        let mut next = Some(next);
-        account.waiting.push(Box::new(move |control, port, more| {
-            let next = next.take().expect("called once");
-            if more {
-                control.charge(port, &again, false, next);
-            } else {
-                next(control, port, false);
-            }
+        account.waiting.push(Box::new(move |c, more| match more {
+            true => c.charge(&again, false, next),
+            false => next(c, false),
         }));
         if account.waiting.len() == 1 {
-            self.take(port, &customer, &plan, units);
+            self.take(&customer, &plan, units);
         }
     }
 
-    /// One add to the window's name takes a block; what does not fit goes back.
-    fn take(&mut self, port: &mut dyn Port, customer: &CustomerId, plan: &PlanName, units: f64) {
+    /// One add to the window's name takes a block; what the store cannot give goes back. The store is followed
+    /// from the totals: they tell what all gateways took since the last look. A new window first reads the last.
+    fn take(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) {
         let (rate, burst) = (self.plan(plan, "rate"), self.plan(plan, "burst"));
-        let length = burst / rate;
-        let window = (self.now.as_secs_f64() / length) as u64;
-        let keep = Duration::from_secs_f64(length * 3.0);
+        let length = Duration::from_secs_f64(burst / rate);
+        let (window, start) = self.stretch(customer, length, self.now);
+        let name = |window| CounterName(fixed_hash(&customer.0, 2, window));
+        let (this, last, keep) = (name(window), name(window.wrapping_sub(1)), length * 3);
+        let (owner, terms) = (customer.clone(), plan.clone());
         let account = self.accounts.entry(customer.clone()).or_default();
-        let (name_of, owner, terms) = (customer.clone(), customer.clone(), plan.clone());
         if account.window != window {
-            // The store's debt at the window's start: what the last window took beyond its refill.
-            let debt = if account.window + 1 == window { account.debt } else { 0.0 };
-            (account.window, account.total) = (window, 0.0);
-            let told = move |control: &mut Control, port: &mut dyn Port, counted| {
-                let account = control.accounts.entry(owner.clone()).or_default();
+            if account.window + 1 != window {
+                (account.store, account.total, account.seen) = (burst, 0.0, start.saturating_sub(length));
+            }
+            account.window = window;
+            let told = move |c: &mut Control, counted| {
+                let account = c.accounts.entry(owner.clone()).or_default();
                 if let Counted::Total(total) = counted {
-                    account.debt = (debt + total - burst).clamp(0.0, burst);
+                    account.follow(total, start.max(account.seen), rate, burst);
                 }
-                control.take(port, &owner, &terms, units);
+                account.total = 0.0;
+                c.take(&owner, &terms, units);
             };
-            let name = self.name(&name_of, 1, window.wrapping_sub(1));
-            return self.add(port, name, 0.0, keep, Box::new(told));
-        }
-        let first = account.total == 0.0;
-        let size = if first { burst / account.spread } else { account.demand * length * BLOCK_SHARE };
-        let size = (size.min(burst / account.spread) - account.block).max(units - account.block).ceil();
-        let name = self.name(customer, 1, window);
-        let told = move |control: &mut Control, port: &mut dyn Port, counted| {
-            let since = (control.now.as_secs_f64() - window as f64 * length).clamp(0.0, length);
-            let account = control.accounts.entry(owner.clone()).or_default();
-            let mut enough = false;
+            return self.add(last, 0.0, keep, Box::new(told));
+        }
+        let wanted = (account.demand * length.as_secs_f64()).min(burst / account.spread);
+        let size = (wanted.max(units) - account.block).ceil();
+        let told = move |c: &mut Control, counted| {
+            let now = c.now;
+            let account = c.accounts.entry(owner).or_default();
+            let (mut more, mut back) = (true, 0.0);
             if let Counted::Total(total) = counted {
-                let allowed = burst + rate * since - account.debt;
-                let back = (total - allowed).ceil().clamp(0.0, size);
+                account.follow(total - size, now, rate, burst);
+                let fits = account.store.floor().clamp(0.0, size);
+                more = account.block + fits >= units;
+                let fits = if more { fits } else { 0.0 };
+                back = size - fits;
+                account.block += fits;
+                account.store -= fits;
                 account.total = total - back;
-                account.block += size - back;
-                enough = account.block >= units;
-                if !enough {
-                    let short = (units - account.block) / rate;
-                    account.refused_until = control.now + Duration::from_secs_f64(short.clamp(0.02, 0.25));
-                }
-                if back > 0.0 {
-                    control.add(port, name, -back, keep, Box::new(|_, _, _| ()));
+                if !more {
+                    let short = (units - account.block - account.store) / rate;
+                    account.refused_until = now + Duration::from_secs_f64(short.clamp(0.01, 0.3));
                 }
             }
-            let unknown = !matches!(counted, Counted::Total(_));
-            let account = control.accounts.entry(owner.clone()).or_default();
-            for next in std::mem::take(&mut account.waiting) {
-                next(control, port, enough || unknown);
+            let waiting = std::mem::take(&mut account.waiting);
+            if back > 0.0 {
+                c.add(this, -back, keep, Box::new(|_, _| ()));
+            }
+            for next in waiting {
+                next(c, more);
             }
         };
-        self.add(port, name, size, keep, Box::new(told));
+        self.add(this, size, keep, Box::new(told));
     }
 
     // ---- sending ----
@@ -576,27 +568,43 @@
         let (from, span) = (self.number("rules.cold_from"), self.number("rules.cold"));
         match server.listed.started {
             Some(start) if span > 0.0 => {
-                let age = (self.now - start.min(self.now)).as_secs_f64();
+                let age = self.now.saturating_sub(start).as_secs_f64();
                 (from + (1.0 - from) * age / span).min(1.0)
             }
             _ => 1.0,
         }
     }
 
-    fn cost(&self, server: &Server) -> f64 {
-        let faded = (self.now - server.faded.min(self.now)).as_secs_f64();
+    /// Room for one more: the gateway's own limit, and for a cold server its part of what it can safely take.
+    fn has_room(&self, server: &Server) -> bool {
+        let warmth = self.warmth(server);
+        if warmth < 1.0 {
+            let warm =
+                self.servers.values().filter(|server| self.warmth(server) >= 1.0).count().max(1) as f64;
+            let over = self.span("rules.overload_for");
+            let recent = server.sent.iter().filter(|at| **at + over > self.now).count() as f64;
+            let usual = self.done.0 / warm * over.as_secs_f64();
+            if recent >= (usual * warmth * self.number("rules.fall_multiple") * COLD_SHARE).max(1.0) {
+                return false;
+            }
+        }
+        f64::from(server.open) < (server.room * warmth).max(1.0)
+    }
+
+    fn cost(&self, server: &ServerId) -> f64 {
+        let server = &self.servers[server];
+        let faded = self.now.saturating_sub(server.faded).as_secs_f64();
         let distrust = server.distrust * 0.5f64.powf(faded / DISTRUST_HALF);
-        (f64::from(server.open) + 1.0) * server.pace * (1.0 + distrust)
-            / (server.listed.weight.max(0.1) * self.warmth(server))
+        let able = server.listed.weight.max(0.1) * self.warmth(server);
+        (f64::from(server.open) + 1.0) * server.pace * (1.0 + distrust) / able
     }
 
     /// Draws two of the allowed servers and takes the one the node's own counts favour.
     fn choose(&mut self, allowed: &[ServerId]) -> ServerId {
         let one = self.rng.generate_range(0..allowed.len());
-        let two = self.rng.generate_range(0..allowed.len().max(2) - 1);
-        let two = if two >= one { (two + 1).min(allowed.len() - 1) } else { two };
+        let two = (one + self.rng.generate_range(1..allowed.len().max(2))) % allowed.len();
         let (one, two) = (&allowed[one], &allowed[two]);
-        if self.cost(&self.servers[one]) <= self.cost(&self.servers[two]) {
+        if self.cost(one) <= self.cost(two) {
             one.clone()
         } else {
             two.clone()
@@ -604,176 +612,166 @@
     }
 
     /// The one place every upstream try passes: the rules on answers, effects, drains and cold servers.
-    fn send(&mut self, port: &mut dyn Port, call: CallId, hold: Hold) {
-        let Some(asked) = self.calls.get(&call) else {
-            return;
-        };
-        let (customer, route) = (asked.customer.clone(), asked.route.clone());
-        let left = asked.until.saturating_sub(self.now);
-        let repeat = self.repeat(&route);
-        let group = self.text(&format!("routes.{}.group", route.0));
-        let in_group = |server: &Server| match (&asked.ran, repeat) {
+    fn send(&mut self, call: CallId, customer: CustomerId, hold: Hold) {
+        let Some(asked) = self.calls.get(&call) else { return self.release(&customer, hold) };
+        let (route, units) = (asked.arrival.route.clone(), asked.arrival.units);
+        let left = asked.arrival.until.saturating_sub(self.now);
+        let (repeat, group) = (self.repeat(&route), self.group(&route));
+        let memory = Duration::from_secs_f64(self.route(&route, "memory_span"));
+        let harmless = |server: &Server| match (&asked.ran, repeat) {
             (None, _) | (_, "idempotent") => true,
-            (Some((when, first)), "tokened") => {
-                let memory = Duration::from_secs_f64(self.route(&route, "memory_span"));
-                let same = self.servers.get(first).is_some_and(|first| match group {
-                    "all" => true,
-                    "zone" => first.listed.zone == server.listed.zone,
-                    _ => first.listed.cell == server.listed.cell,
-                });
-                same && *when + memory > self.now + self.span("resolution")
+            (Some((when, first)), "tokened") if *when + memory > self.now + self.span("resolution") => {
+                group == "all"
+                    || self.servers.get(first).is_some_and(|first| match group {
+                        "zone" => first.listed.zone == server.listed.zone,
+                        _ => first.listed.cell == server.listed.cell,
+                    })
             }
             _ => false,
         };
-        let last = asked.out.as_ref().map(|(_, server)| server.clone());
-        let mut allowed: Vec<ServerId> = self
-            .servers
-            .values()
-            .filter(|server| server.listed.phase == Phase::Ready && in_group(server))
-            .map(|server| server.listed.server.clone())
-            .collect();
+        let able = |server: &&Server| {
+            server.listed.phase == Phase::Ready && harmless(server) && self.has_room(server)
+        };
+        let mut allowed: Vec<ServerId> =
+            self.servers.values().filter(able).map(|server| server.listed.server.clone()).collect();
         if allowed.len() > 1 {
-            allowed.retain(|server| Some(server) != last.as_ref());
-        }
-        if allowed.is_empty() || left.is_zero() {
-            self.release_for(port, &customer, hold);
-            return self.answer(port, &call);
-        }
-        let server = self.choose(&allowed);
-        let timeout = self.patience(&call, left);
-        let now = self.now;
-        self.servers.get_mut(&server).expect("chosen from the list").open += 1;
+            allowed.retain(|server| Some(server) != asked.last.as_ref());
+        }
+        if allowed.is_empty() || left.is_zero() || asked.out.is_some() {
+            self.release(&customer, hold);
+            return self.answer(&call, 1.0);
+        }
+        let at = self.choose(&allowed);
+        let (now, timeout) = (self.now, self.patience(&self.calls[&call], left));
+        let server = self.servers.get_mut(&at).expect("chosen from the list");
+        server.open += 1;
+        server.sent.push_back(now);
+        server.sent.drain(..server.sent.len().saturating_sub(64));
         let asked = self.calls.get_mut(&call).expect("looked up above");
         let number = TryNumber(asked.tries);
-        asked.tries += 1;
-        asked.out = Some((number, server.clone()));
-        port.send(&call, &server, timeout);
-        let (key, at) = ((call.clone(), number), server);
-        let over = move |control: &mut Control, port: &mut dyn Port, end: Ended| {
-            control.judge(&at, &route, &end);
-            control.release_for(port, &customer, hold);
-            control.over(port, &call, &customer, at, now, end);
+        (asked.tries, asked.out, asked.last) = (asked.tries + 1, Some(number), Some(at.clone()));
+        self.port.send(&call, &at, timeout);
+        let key = (call.clone(), number);
+        let over = move |c: &mut Control, end: Ended| {
+            c.judge(&at, &route, &end);
+            c.release(&customer, hold);
+            c.settle(&customer, end.settled.map_or(0.0, |settled| settled - units));
+            c.over(&call, (now, at), end);
         };
         self.tries.insert(key, Box::new(over));
     }
 
     /// How long a try may take: a route that may be repeated leaves time for another try within the target.
-    fn patience(&self, call: &CallId, left: Duration) -> Duration {
-        let asked = &self.calls[call];
-        let target = self.route(&asked.route, "latency_target");
-        let to_target = (target - (self.now - asked.born).as_secs_f64()).max(0.0);
-        if self.repeat(&asked.route) == "non-idempotent" || to_target < target * 0.3 {
+    fn patience(&self, asked: &Call, left: Duration) -> Duration {
+        let target = self.route(&asked.arrival.route, "latency_target");
+        let to_target = target - (self.now - asked.born).as_secs_f64();
+        if self.repeat(&asked.arrival.route) == "non-idempotent" || to_target < target * 0.3 {
             return left;
         }
         left.min(Duration::from_secs_f64(to_target * TRY_PATIENCE))
     }
 
-    /// Moves the server's pace and distrust by how a try ended.
+    /// Moves the server's pace, distrust and room by how a try ended.
     fn judge(&mut self, server: &ServerId, route: &RouteName, end: &Ended) {
-        let took = end.latency.as_secs_f64();
+        let (took, now) = (end.latency.as_secs_f64(), self.now);
+        let quick = took < self.route(route, "latency_target") * QUICK;
+        let warm = self.servers.get(server).is_some_and(|server| self.warmth(server) >= 1.0);
         let usual = self.usual.entry(route.clone()).or_insert(took.max(0.001));
-        let Some(server) = self.servers.get_mut(server) else {
-            return;
-        };
+        let Some(server) = self.servers.get_mut(server) else { return };
+        let busy = f64::from(server.open) > server.room * 0.6;
         server.open = server.open.saturating_sub(1);
-        let faded = (self.now - server.faded.min(self.now)).as_secs_f64();
-        server.distrust *= 0.5f64.powf(faded / DISTRUST_HALF);
-        server.faded = self.now;
+        server.distrust *= 0.5f64.powf(now.saturating_sub(server.faded).as_secs_f64() / DISTRUST_HALF);
+        server.faded = now;
+        let mut cut = 1.0;
         match end.outcome {
             Outcome::Proxied => {
-                let ratio = (took / *usual).clamp(0.2, 10.0);
+                server.pace += ((took / *usual).clamp(0.2, 10.0) - server.pace) * 0.1;
                 *usual += (took - *usual) * 0.02;
-                server.pace += (ratio - server.pace) * 0.1;
+                if warm {
+                    let faded = (-now.saturating_sub(self.done.1).as_secs_f64() / 10.0).exp();
+                    self.done = (self.done.0 * faded + 0.1, now);
+                }
+                match quick {
+                    true if busy => server.room += 0.3,
+                    true => (),
+                    false => cut = 0.9,
+                }
+            }
+            Outcome::TimedOut | Outcome::NoConnection | Outcome::Broken => {
+                server.distrust += 2.0;
+                cut = 0.7;
             }
-            Outcome::TimedOut | Outcome::NoConnection | Outcome::Broken => server.distrust += 2.0,
-            Outcome::ServerError | Outcome::TurnedAway => server.distrust += 0.5,
+            Outcome::ServerError => server.distrust += 0.5,
+            Outcome::TurnedAway => cut = 0.7,
             Outcome::Cancelled | Outcome::NotSent => (),
         }
+        if cut < 1.0 && now >= server.cut {
+            server.room = (server.room * cut).max(1.0);
+            server.cut = now + ms(100);
+        }
     }
 
-    /// A try is over: the API call is answered, or a further try is made as far as its route permits.
-    fn over(
-        &mut self,
-        port: &mut dyn Port,
-        call: &CallId,
-        customer: &CustomerId,
-        server: ServerId,
-        sent: Duration,
-        end: Ended,
-    ) {
-        let Some(asked) = self.calls.get_mut(call) else {
-            return;
-        };
-        let unrun = [Outcome::TurnedAway, Outcome::NoConnection, Outcome::NotSent].contains(&end.outcome);
-        if let Some(true_units) = end.settled {
-            let off = true_units - asked.units;
-            self.accounts.entry(customer.clone()).or_default().block -= off;
+    /// A guess is settled against the block, or against the share where that is in use.
+    fn settle(&mut self, customer: &CustomerId, off: f64) {
+        let account = self.accounts.entry(customer.clone()).or_default();
+        match &mut account.share {
+            Some((left, _)) => *left -= off,
+            None => account.block -= off,
         }
+    }
+
+    /// A try is over: the API call is answered, or a further try is made as far as its route permits.
+    fn over(&mut self, call: &CallId, sent: (Duration, ServerId), end: Ended) {
         if end.closed {
             self.calls.remove(call);
-            return;
         }
-        asked.out = Some((TryNumber(u32::MAX), server.clone()));
-        if !unrun && asked.ran.is_none() {
-            asked.ran = Some((sent, server));
+        let Some(asked) = self.calls.get_mut(call) else { return };
+        asked.out = None;
+        if !matches!(end.outcome, Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent) {
+            asked.ran.get_or_insert(sent);
         }
-        let (tries, ran, route) = (asked.tries, asked.ran.is_some(), asked.route.clone());
-        let again = tries < self.number("limits.max_attempts") as u32
-            && self.try_budget >= 1.0
-            && !(ran && self.repeat(&route) == "non-idempotent");
-        if !again {
-            return self.answer(port, call);
+        let (tries, once) = (asked.tries, asked.ran.is_some());
+        let (customer, route) = (asked.arrival.customer.clone(), asked.arrival.route.clone());
+        let barred = once && self.repeat(&route) == "non-idempotent";
+        if barred || f64::from(tries) >= self.number("limits.max_attempts") || self.try_budget < 1.0 {
+            return self.answer(call, 1.0);
         }
         self.try_budget -= 1.0;
-        let retried = call.clone();
-        let held = move |control: &mut Control, port: &mut dyn Port, hold| match hold {
-            Hold::Full(_) => control.answer(port, &retried),
-            hold => control.send(port, retried, hold),
+        let again = call.clone();
+        let held = move |c: &mut Control, hold| match hold {
+            Hold::Full(ahead) => c.answer(&again, ahead),
+            hold => c.send(again, customer, hold),
         };
-        self.hold(port, call, Box::new(held));
+        self.hold(call, Box::new(held));
     }
 
-    fn cancel(&mut self, port: &mut dyn Port, call: &CallId, number: TryNumber) {
-        if self.flag("limits.cancelling") && self.tries.contains_key(&(call.clone(), number)) {
-            port.cancel(call, number);
+    fn cancel(&mut self, call: &CallId, number: TryNumber) {
+        if self.flag("limits.cancelling") {
+            self.port.cancel(call, number);
         }
     }
 
     /// The one final answer. Rate-limited where it is harmless to come again, else errored.
-    fn answer(&mut self, port: &mut dyn Port, call: &CallId) {
-        let Some(asked) = self.calls.remove(call) else {
-            return;
-        };
-        if let Some((number, server)) = &asked.out {
-            self.cancel(port, call, *number);
-            let out = self.tries.contains_key(&(call.clone(), *number));
-            if out || asked.ran.is_some() {
-                let group = self.text(&format!("routes.{}.group", asked.route.0));
-                let harmless = match self.repeat(&asked.route) {
-                    "idempotent" => true,
-                    "tokened" => group == "all",
-                    _ => false,
-                };
-                let _ = server;
-                if !harmless || out {
-                    return port.error(call);
-                }
-            }
+    fn answer(&mut self, call: &CallId, ahead: f64) {
+        let Some(asked) = self.calls.remove(call) else { return };
+        if let Some(number) = asked.out {
+            self.cancel(call, number);
+        }
+        let route = &asked.arrival.route;
+        let ran = asked.out.is_some() || asked.ran.is_some();
+        match self.repeat(route) {
+            "tokened" if ran && self.group(route) != "all" => self.port.error(call),
+            "non-idempotent" if ran => self.port.error(call),
+            _ => self.port.rate_limit(call, ADVICE.mul_f64(ahead.max(1.0)).min(LONGEST_ADVICE)),
         }
-        port.rate_limit(call, ADVICE.0.min(ADVICE.1));
     }
 }
 
-/// A fixed hash for counter names: every gateway must come to the same one.
-struct Fnv(u64);
-
-impl Hasher for Fnv {
-    fn finish(&self) -> u64 {
-        self.0
-    }
-    fn write(&mut self, bytes: &[u8]) {
-        for byte in bytes {
-            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
-        }
-    }
+/// A hash that is the same at every gateway and in every build, below 2^63.
+fn fixed_hash(text: &str, kind: u8, number: u64) -> u64 {
+    let bytes = text.bytes().chain([kind]).chain(number.to_le_bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    (hash ^ (hash >> 29)) >> 1
 }
