--- a/src/control.rs
+++ b/src/control.rs
@@ -101,7 +101,7 @@
     /// The store refills at the rate, and gives what the total shows taken since the last look.
     fn follow(&mut self, total: f64, now: Duration, rate: f64, burst: f64) {
         let refill = now.saturating_sub(self.seen).as_secs_f64() * rate;
-        self.store = (self.store + refill - (total - self.total).max(0.0)).min(burst);
+        self.store = (self.store + refill - (total - self.total)).min(burst);
         (self.total, self.seen) = (total, now);
     }
 }
