--- a/src/control.rs
+++ b/src/control.rs
@@ -33,7 +33,7 @@
 /// A further try is paid from this share of the API calls taken.
 const TRY_SHARE: f64 = 0.2;
 /// A try that may be repeated is given this share of what is left to the latency target.
-const TRY_PATIENCE: f64 = 0.6;
+const TRY_PATIENCE: f64 = 1.0;
 
 const TICK_TOKEN: WakeToken = WakeToken(1);
 const DUE_TOKEN: WakeToken = WakeToken(2);
@@ -733,7 +733,9 @@
         let (tries, once) = (asked.tries, asked.ran.is_some());
         let (customer, route) = (asked.arrival.customer.clone(), asked.arrival.route.clone());
         let barred = once && self.repeat(&route) == "non-idempotent";
-        if barred || f64::from(tries) >= self.number("limits.max_attempts") || self.try_budget < 1.0 {
+        let late = self.route(&route, "late_worth") <= 0.0
+            && (self.now - self.calls[call].born).as_secs_f64() >= self.route(&route, "latency_target") * 0.9;
+        if late || barred || f64::from(tries) >= self.number("limits.max_attempts") || self.try_budget < 1.0 {
             return self.answer(call, 1.0);
         }
         self.try_budget -= 1.0;
