--- a/src/control.rs
+++ b/src/control.rs
@@ -287,6 +287,9 @@
     pub fn counted(&mut self, now: Duration, name: CounterName, counted: Counted) {
         self.now = now;
         if !matches!(counted, Counted::Total(_)) {
+            if !self.skipping() {
+                self.port.log(&format!("counter skipped for {SKIP:?}: {counted:?}"));
+            }
             self.skip_until = self.skip_until.max(now + SKIP);
         }
         let Some(line) = self.counts.get_mut(&name) else { return };
@@ -385,7 +388,7 @@
         let account = self.accounts.entry(customer.clone()).or_default();
         account.open += 1.0;
         // In silence a gateway's own tries stay in its share of the cap, as its units do.
-        let over_share = account.open > (cap / account.spread).ceil();
+        let over_share = account.open > (cap / account.spread).floor().max(1.0);
         self.next_id += 1;
         let (id, owner) = (self.next_id, customer.clone());
         let period = self.stretch(&customer, PERIOD, self.now).0;
