--- a/src/control.rs
+++ b/src/control.rs
@@ -23,6 +23,10 @@
 const LONGEST_ADVICE: Duration = ms(30_000);
 /// The one periodic timer.
 const TICK: Duration = ms(50);
+/// A customer asking for less than this share of its rate is taken to have left its store alone.
+const CALM: f64 = 0.5;
+/// After a full count a customer's calls are refused for this long without asking the counter.
+const FULL_FOR: Duration = ms(60);
 /// Distrust halves in this many seconds.
 const DISTRUST_HALF: f64 = 4.0;
 /// Tries open at a server to start with, and the share of the latency target that answers should stay under.
@@ -271,6 +275,8 @@
     /// The first try's hold was counted, skipped or refused: only now units are charged.
     fn held(&mut self, call: CallId, customer: CustomerId, hold: Hold) {
         if let Hold::Full(ahead) = hold {
+            let account = self.accounts.entry(customer).or_default();
+            account.refused_until = account.refused_until.max(self.now + FULL_FOR);
             return self.answer(&call, ahead);
         }
         let paid = call.clone();
@@ -523,6 +529,11 @@
                 (account.store, account.total, account.seen) = (burst, 0.0, start.saturating_sub(length));
             }
             account.window = window;
+            if account.demand * account.spread < rate * CALM {
+                account.follow(account.total, start.max(account.seen), rate, burst);
+                account.total = 0.0;
+                return self.take(customer, plan, units);
+            }
             let told = move |c: &mut Control, counted| {
                 let account = c.accounts.entry(owner.clone()).or_default();
                 if let Counted::Total(total) = counted {
@@ -550,7 +561,7 @@
                 account.total = total - back;
                 if !more {
                     let short = (units - account.block - account.store) / rate;
-                    account.refused_until = now + Duration::from_secs_f64(short.clamp(0.01, 0.3));
+                    account.refused_until = now + Duration::from_secs_f64(short.clamp(0.01, length.as_secs_f64() * 0.5));
                 }
             }
             let waiting = std::mem::take(&mut account.waiting);
