What is worth least for its work goes first as the room at the servers fills

Cause: in overload every try was let in until no server had room. Harm: where routes differ much in work, long cheap calls are refused first on a full fleet.

--- a/src/control.rs
+++ b/src/control.rs
@@ -27,6 +27,8 @@
 const CALM: f64 = 0.5;
 /// After a full count a customer's calls are refused for this long without asking the counter.
 const FULL_FOR: Duration = ms(60);
+/// From this share of the room in use on, API calls of little worth for their work are refused.
+const SHED_FROM: f64 = 0.6;
 /// Distrust halves in this many seconds.
 const DISTRUST_HALF: f64 = 4.0;
 /// Tries open at a server to start with, and the share of the latency target that answers should stay under.
@@ -129,6 +131,8 @@
     skip_until: Duration,
     /// Usual latency of each route, in seconds.
     usual: BTreeMap<RouteName, f64>,
+    /// Mean worth for work of recent API calls.
+    worth: f64,
     try_budget: f64,
     /// Answers a second from warm servers, fading over ten seconds, and when it was last faded.
     done: (f64, Duration),
@@ -153,6 +157,7 @@
             next_due: Duration::MAX,
             skip_until: Duration::ZERO,
             usual: BTreeMap::new(),
+            worth: 0.0,
             try_budget: 3.0,
             done: (0.0, now),
         };
@@ -265,7 +270,7 @@
         let fresh = Call { arrival, born: now, tries: 0, out: None, last: None, ran: None };
         self.calls.insert(call.clone(), fresh);
         self.at(last, Box::new(move |c, ()| c.answer(&timed, 1.0)));
-        if spent {
+        if spent || self.crowded(&call) {
             return self.answer(&call, 1.0);
         }
         let (asked, customer) = (call.clone(), self.calls[&call].arrival.customer.clone());
@@ -561,7 +566,8 @@
                 account.total = total - back;
                 if !more {
                     let short = (units - account.block - account.store) / rate;
-                    account.refused_until = now + Duration::from_secs_f64(short.clamp(0.01, length.as_secs_f64() * 0.5));
+                    account.refused_until =
+                        now + Duration::from_secs_f64(short.clamp(0.01, length.as_secs_f64() * 0.5));
                 }
             }
             let waiting = std::mem::take(&mut account.waiting);
@@ -605,6 +611,22 @@
         f64::from(server.open) < (server.room * warmth).max(1.0)
     }
 
+    /// In overload what is worth least for its work goes first, before it costs counter calls. Load is the tries
+    /// open against the room for them; worth for work is measured against its mean over recent API calls.
+    fn crowded(&mut self, call: &CallId) -> bool {
+        let arrival = &self.calls[call].arrival;
+        let value = self.route(&arrival.route, "billed_value") * self.plan(&arrival.plan, "price");
+        let value = value * arrival.units / self.usual.get(&arrival.route).copied().unwrap_or(1.0).max(0.001);
+        let (mut open, mut room) = (0.0, 0.0);
+        for server in self.servers.values().filter(|server| server.listed.phase == Phase::Ready) {
+            open += f64::from(server.open);
+            room += (server.room * self.warmth(server)).max(1.0);
+        }
+        let bar = (open / f64::max(room, 1.0) - SHED_FROM) / (1.0 - SHED_FROM) * self.worth;
+        self.worth += (value - self.worth) * 0.02;
+        value < bar
+    }
+
     fn cost(&self, server: &ServerId) -> f64 {
         let server = &self.servers[server];
         let faded = self.now.saturating_sub(server.faded).as_secs_f64();
