--- a/src/control.rs
+++ b/src/control.rs
@@ -31,9 +31,9 @@
 const SHED_FROM: f64 = 0.6;
 /// Distrust halves in this many seconds.
 const DISTRUST_HALF: f64 = 4.0;
-/// Tries open at a server to start with, and the share of the latency target that answers should stay under.
-const ROOM: f64 = 8.0;
-const QUICK: f64 = 0.5;
+/// Tries open at a server to start with, over all gateways, and the share of the latency target that answers should stay under.
+const ROOM: f64 = 16.0;
+const QUICK: f64 = 0.35;
 /// The part of a cold server's budget that is used.
 const COLD_SHARE: f64 = 0.4;
 /// A further try is paid from this share of the API calls taken.
@@ -239,7 +239,7 @@
                     pace: 1.0,
                     distrust: 0.0,
                     faded: now,
-                    room: ROOM,
+                    room: (ROOM / self.number("gateways").max(1.0)).max(1.0),
                     cut: now,
                     sent: VecDeque::new(),
                 },
@@ -713,6 +713,7 @@
         let quick = took < self.route(route, "latency_target") * QUICK;
         let warm = self.servers.get(server).is_some_and(|server| self.warmth(server) >= 1.0);
         let usual = self.usual.entry(route.clone()).or_insert(took.max(0.001));
+        let grow = 1.0 / self.number("gateways").max(1.0);
         let Some(server) = self.servers.get_mut(server) else { return };
         let busy = f64::from(server.open) > server.room * 0.6;
         server.open = server.open.saturating_sub(1);
@@ -728,7 +729,7 @@
                     self.done = (self.done.0 * faded + 0.1, now);
                 }
                 match quick {
-                    true if busy => server.room += 0.3,
+                    true if busy => server.room += grow,
                     true => (),
                     false => cut = 0.9,
                 }
