--- a/src/control.rs
+++ b/src/control.rs
@@ -711,9 +711,9 @@
     fn judge(&mut self, server: &ServerId, route: &RouteName, end: &Ended) {
         let (took, now) = (end.latency.as_secs_f64(), self.now);
         let quick = took < self.route(route, "latency_target") * QUICK;
+        let grow = 1.0 / self.number("gateways").max(1.0);
         let warm = self.servers.get(server).is_some_and(|server| self.warmth(server) >= 1.0);
         let usual = self.usual.entry(route.clone()).or_insert(took.max(0.001));
-        let grow = 1.0 / self.number("gateways").max(1.0);
         let Some(server) = self.servers.get_mut(server) else { return };
         let busy = f64::from(server.open) > server.room * 0.6;
         server.open = server.open.saturating_sub(1);
