Room at a server shrinks on answers past a quarter of the target

Harm: a route whose work is near its target would be held back; the floor of one try a server keeps it served.

--- a/src/control.rs
+++ b/src/control.rs
@@ -33,7 +33,7 @@
 const DISTRUST_HALF: f64 = 4.0;
 /// Tries open at a server to start with, over all gateways, and the share of the latency target that answers should stay under.
 const ROOM: f64 = 16.0;
-const QUICK: f64 = 0.35;
+const QUICK: f64 = 0.25;
 /// The part of a cold server's budget that is used.
 const COLD_SHARE: f64 = 0.4;
 /// A further try is paid from this share of the API calls taken.
