A hard ceiling is kept by each gateway's own purse; uncounted holds are renewed too

The harm: in the first second of a gateway's life a bursting customer of such a plan may be refused.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -281,10 +281,7 @@
         "tallied" => {
             control.counted(now, CounterName(fields.whole("name")?), fields.counted()?);
         }
-        "status_back" => {
-            control.probed(now, &fields.text("server")?.into(), fields.outcome()?, &fields.load());
-        }
-        // Messages from peers say nothing to a design whose gateways meet on the counter only.
+        // Control sends no probes and no messages to peers, so their answers say nothing to it.
         _ => (),
     }
     Ok(())
--- a/src/control.rs
+++ b/src/control.rs
@@ -29,6 +29,8 @@
 const FULL_FOR: Duration = ms(60);
 /// From this share of the room in use on, API calls of little worth for their work are refused.
 const SHED_FROM: f64 = 0.6;
+/// A customer not heard of for this long is forgotten.
+const FORGET: Duration = ms(60_000);
 /// Distrust halves in this many seconds.
 const DISTRUST_HALF: f64 = 4.0;
 /// Tries open at a server to start with, over all gateways, and the share of the latency target that answers should stay under.
@@ -47,14 +49,6 @@
 /// What a step leaves behind.
 type Next<R> = Box<dyn FnOnce(&mut Control, R)>;
 
-/// What became of asking for a hold; `Full` tells how many calls are ahead.
-#[derive(Clone, Copy, PartialEq)]
-enum Hold {
-    Counted(u64),
-    Uncounted,
-    Full(f64),
-}
-
 struct Call {
     arrival: Arrival,
     born: Duration,
@@ -82,9 +76,7 @@
 #[derive(Default)]
 struct Account {
     spread: f64,
-    /// Tries out through this gateway, counted or not.
-    open: f64,
-    /// Open holds, each with the periods in whose names it is counted, and the period last renewed into.
+    /// Holds of tries out through this gateway, each with the periods in whose names it is counted, and the period last renewed into.
     holds: BTreeMap<u64, Vec<u64>>,
     renewed: u64,
     /// Units in hand, taken from a window's name.
@@ -101,6 +93,8 @@
     refused_until: Duration,
     /// The even split used in silence: units left and when they were last counted.
     share: Option<(f64, Duration)>,
+    /// What a hard ceiling leaves to this gateway, and when it was last counted.
+    purse: Option<(f64, Duration)>,
 }
 
 impl Account {
@@ -277,13 +271,17 @@
         self.hold(&call, Box::new(move |c, hold| c.held(asked, customer, hold)));
     }
 
-    /// The first try's hold was counted, skipped or refused: only now units are charged.
-    fn held(&mut self, call: CallId, customer: CustomerId, hold: Hold) {
-        if let Hold::Full(ahead) = hold {
-            let account = self.accounts.entry(customer).or_default();
-            account.refused_until = account.refused_until.max(self.now + FULL_FOR);
-            return self.answer(&call, ahead);
-        }
+    /// The first try's hold was taken or refused: only now units are charged. A customer whose count is full is
+    /// refused for a moment without asking, so that its adds and withdrawals do not keep the count full.
+    fn held(&mut self, call: CallId, customer: CustomerId, hold: Result<u64, f64>) {
+        let hold = match hold {
+            Ok(hold) => hold,
+            Err(ahead) => {
+                let account = self.accounts.entry(customer).or_default();
+                account.refused_until = account.refused_until.max(self.now + FULL_FOR);
+                return self.answer(&call, ahead);
+            }
+        };
         let paid = call.clone();
         let charged = move |c: &mut Control, enough| match enough {
             true => c.send(paid, customer, hold),
@@ -292,7 +290,7 @@
                 c.answer(&paid, 1.0);
             }
         };
-        self.charge(&call, hold == Hold::Uncounted, Box::new(charged));
+        self.charge(&call, Box::new(charged));
     }
 
     pub fn counted(&mut self, now: Duration, name: CounterName, counted: Counted) {
@@ -334,16 +332,13 @@
         self.calls.remove(call);
     }
 
-    pub fn probed(&mut self, now: Duration, _: &ServerId, _: Outcome, _: &BTreeMap<String, f64>) {
-        self.now = now;
-    }
-
     pub fn woken(&mut self, now: Duration, token: WakeToken) {
         self.now = now;
         if token == TICK_TOKEN && now >= self.next_tick {
             self.next_tick = now + TICK;
             self.port.wake(TICK_TOKEN, self.next_tick);
             self.renew();
+            self.accounts.retain(|_, account| !account.holds.is_empty() || now < account.asked + FORGET);
         }
         while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= now) {
             entry.remove()(self, ());
@@ -392,38 +387,35 @@
         self.add(CounterName(fixed_hash(&customer.0, 1, period)), by, PERIOD * 2, next);
     }
 
-    /// Step 2: adds one and waits for the total. The hold is kept by the account until it is released.
-    fn hold(&mut self, call: &CallId, next: Next<Hold>) {
+    /// Step 2: adds one and waits for the total. The hold is kept by the account until it is released; refused,
+    /// the result tells how many calls are ahead. In silence a gateway's own tries stay in its share of the cap,
+    /// as its units do: an outage would else admit all. Harm: an uneven customer is refused at its busy gateway.
+    fn hold(&mut self, call: &CallId, next: Next<Result<u64, f64>>) {
         let arrival = &self.calls[call].arrival;
         let (customer, cap) = (arrival.customer.clone(), self.cap(&arrival.plan));
-        let account = self.accounts.entry(customer.clone()).or_default();
-        account.open += 1.0;
-        // In silence a gateway's own tries stay in its share of the cap, as its units do.
-        let over_share = account.open > (cap / account.spread).floor().max(1.0);
+        let (owner, period) = (customer.clone(), self.stretch(&customer, PERIOD, self.now).0);
         self.next_id += 1;
-        let (id, owner) = (self.next_id, customer.clone());
-        let period = self.stretch(&customer, PERIOD, self.now).0;
+        let id = self.next_id;
         let told = move |c: &mut Control, counted| {
             let now = c.stretch(&owner, PERIOD, c.now).0;
             let account = c.accounts.entry(owner.clone()).or_default();
-            let hold = match counted {
-                Counted::Total(total) if total > cap => Hold::Full(total - cap),
-                Counted::Total(_) => Hold::Counted(id),
-                _ if over_share => Hold::Full(1.0),
-                _ => Hold::Uncounted,
-            };
-            let renewed = account.renewed.max(now);
-            match (hold, counted) {
-                (Hold::Full(_), _) => account.open -= 1.0,
-                (Hold::Counted(_), _) => drop(account.holds.insert(id, vec![period])),
-                _ => (),
-            }
-            match (hold, counted) {
-                (Hold::Full(_), Counted::Total(_)) => c.add_hold(&owner, period, -1.0, Box::new(|_, _| ())),
-                (Hold::Counted(_), _) if renewed > period => c.count_in(&owner, renewed, vec![id]),
-                _ => (),
+            let share = (cap / account.spread).floor().max(1.0);
+            match counted {
+                Counted::Total(total) if total > cap => {
+                    c.add_hold(&owner, period, -1.0, Box::new(|_, _| ()));
+                    return next(c, Err(total - cap));
+                }
+                Counted::Total(_) => {
+                    account.holds.insert(id, vec![period]);
+                    let renewed = account.renewed.max(now);
+                    if renewed > period {
+                        c.count_in(&owner, renewed, vec![id]);
+                    }
+                }
+                _ if account.holds.len() as f64 >= share => return next(c, Err(1.0)),
+                _ => drop(account.holds.insert(id, Vec::new())),
             }
-            next(c, hold);
+            next(c, Ok(id));
         };
         if self.skipping() {
             return told(self, Counted::NotAdded);
@@ -451,35 +443,29 @@
         self.add_hold(customer, period, sum, Box::new(told));
     }
 
-    /// Step 4: before the period's edge the open holds go into the next name, once.
+    /// Step 4: before the period's edge the open holds go into the next name, once, uncounted ones too.
     fn renew(&mut self) {
-        if self.skipping() {
-            return;
-        }
-        let customers: Vec<CustomerId> = self.accounts.keys().cloned().collect();
-        for customer in customers {
+        let holders = self.accounts.iter().filter(|(_, account)| !account.holds.is_empty());
+        let holders: Vec<CustomerId> = holders.map(|(customer, _)| customer.clone()).collect();
+        for customer in if self.skipping() { Vec::new() } else { holders } {
             let next = self.stretch(&customer, PERIOD, self.now + RENEW_AHEAD).0;
             let account = self.accounts.get_mut(&customer).expect("listed above");
-            if account.renewed < next && !account.holds.is_empty() {
-                let missing = account.holds.iter().filter(|(_, periods)| !periods.contains(&next));
-                let ids: Vec<u64> = missing.map(|(id, _)| *id).collect();
-                if !ids.is_empty() {
-                    self.count_in(&customer, next, ids);
-                }
+            let missing = account.holds.iter().filter(|(_, periods)| !periods.contains(&next));
+            let ids: Vec<u64> = missing.map(|(id, _)| *id).collect();
+            if account.renewed < next && !ids.is_empty() {
+                account.renewed = next;
+                self.count_in(&customer, next, ids);
             }
-            self.accounts.get_mut(&customer).expect("listed above").renewed = next;
         }
     }
 
-    /// Step 3: any end takes one off every live name in which the hold was counted.
-    fn release(&mut self, customer: &CustomerId, hold: Hold) {
+    /// Step 3: any end takes one off every live name in which the hold was counted, and off no other.
+    fn release(&mut self, customer: &CustomerId, hold: u64) {
         let now = self.stretch(customer, PERIOD, self.now).0;
         let account = self.accounts.entry(customer.clone()).or_default();
-        account.open -= 1.0;
-        let Hold::Counted(id) = hold else { return };
-        let periods = account.holds.remove(&id).unwrap_or_default();
-        if !self.skipping() {
-            for period in periods.into_iter().filter(|period| *period >= now) {
+        let periods = account.holds.remove(&hold).unwrap_or_default();
+        for period in periods.into_iter().filter(|period| *period >= now) {
+            if !self.skipping() {
                 self.add_hold(customer, period, -1.0, Box::new(|_, _| ()));
             }
         }
@@ -488,12 +474,13 @@
     // ---- the rate quota ----
 
     /// Takes the call's units from the block in hand, from a new block, or in silence from the even split.
-    fn charge(&mut self, call: &CallId, silent: bool, next: Next<bool>) {
+    fn charge(&mut self, call: &CallId, next: Next<bool>) {
         let Some(Call { arrival, .. }) = self.calls.get(call) else { return next(self, false) };
         let (customer, plan, units) = (arrival.customer.clone(), arrival.plan.clone(), arrival.units);
         let (rate, burst) = (self.plan(&plan, "rate"), self.plan(&plan, "burst"));
-        let (now, silent) = (self.now, silent || self.skipping());
-        // Under a hard ceiling a restarted gateway's share starts empty: its earlier life may have spent it.
+        let (now, silent) = (self.now, self.skipping());
+        // Under a hard ceiling the share starts from the followed store: it may have been spent before the silence,
+        // or by an earlier life of this gateway.
         let hard = self.plan(&plan, "ceiling_rate") > 0.0;
         let account = self.accounts.entry(customer.clone()).or_default();
         if rate <= 0.0 || account.block >= units {
@@ -502,7 +489,10 @@
         }
         if silent {
             let full = burst / account.spread;
-            let (left, since) = account.share.unwrap_or(if hard { (0.0, self.started) } else { (full, now) });
+            let (left, since) = account.share.unwrap_or((
+                if hard { full.min(account.store.max(0.0) / account.spread) } else { full },
+                now,
+            ));
             let left = (left + (now - since).as_secs_f64() * rate / account.spread).min(full.max(units));
             let enough = left >= units;
             account.share = Some((if enough { left - units } else { left }, now));
@@ -511,7 +501,7 @@
         account.share = None;
         let again = call.clone();
         account.waiting.push(Box::new(move |c, more| match more {
-            true => c.charge(&again, false, next),
+            true => c.charge(&again, next),
             false => next(c, false),
         }));
         if account.waiting.len() == 1 {
@@ -648,7 +638,7 @@
     }
 
     /// The one place every upstream try passes: the rules on answers, effects, drains and cold servers.
-    fn send(&mut self, call: CallId, customer: CustomerId, hold: Hold) {
+    fn send(&mut self, call: CallId, customer: CustomerId, hold: u64) {
         let Some(asked) = self.calls.get(&call) else { return self.release(&customer, hold) };
         let (route, units) = (asked.arrival.route.clone(), asked.arrival.units);
         let left = asked.arrival.until.saturating_sub(self.now);
@@ -673,7 +663,10 @@
         if allowed.len() > 1 {
             allowed.retain(|server| Some(server) != asked.last.as_ref());
         }
-        if allowed.is_empty() || left.is_zero() || asked.out.is_some() {
+        let first = asked.tries == 0;
+        let plan = asked.arrival.plan.clone();
+        let barred = allowed.is_empty() || left.is_zero() || asked.out.is_some();
+        if barred || (first && !self.under_ceiling(&customer, &plan, units)) {
             self.release(&customer, hold);
             return self.answer(&call, 1.0);
         }
@@ -697,6 +690,20 @@
         self.tries.insert(key, Box::new(over));
     }
 
+    /// A hard ceiling, kept by this gateway alone: its purse fills at the ceiling's rate, empty at a start since an
+    /// earlier life may have spent it; in silence a send counts for all gateways that may do the same unseen.
+    fn under_ceiling(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) -> bool {
+        let (rate, depth) = (self.plan(plan, "ceiling_rate"), self.plan(plan, "ceiling_burst"));
+        let (now, started, silent) = (self.now, self.started, self.skipping());
+        let account = self.accounts.entry(customer.clone()).or_default();
+        let price = if silent { units * account.spread } else { units };
+        let (left, at) = account.purse.unwrap_or((0.0, started));
+        let left = (left + (now - at).as_secs_f64() * rate).min(depth);
+        let fits = rate <= 0.0 || left >= price;
+        account.purse = Some((if fits { left - price } else { left }, now));
+        fits
+    }
+
     /// How long a try may take: a route that may be repeated leaves time for another try within the target.
     fn patience(&self, asked: &Call, left: Duration) -> Duration {
         let target = self.route(&asked.arrival.route, "latency_target");
@@ -778,8 +785,8 @@
         self.try_budget -= 1.0;
         let again = call.clone();
         let held = move |c: &mut Control, hold| match hold {
-            Hold::Full(ahead) => c.answer(&again, ahead),
-            hold => c.send(again, customer, hold),
+            Err(ahead) => c.answer(&again, ahead),
+            Ok(hold) => c.send(again, customer, hold),
         };
         self.hold(call, Box::new(held));
     }
