Records move to state.rs; a charged call that is not sent gets its units back

Cause: a call refused for want of room after it was charged kept its units. One rule for time-outs: a try is waited for while its answer is worth something.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -1,5 +1,5 @@
-//! The decisions on the simulator's wire: decodes events, puts them in our words, hosts one `Control` for each
-//! instance and writes its actions. Decides nothing; instances share nothing.
+//! The decisions on the simulator's wire: decodes events, puts them in our words, hosts one `Control` each
+//! instance, and writes its actions. Decides nothing; instances share nothing.
 
 use serde_json::{json, Map, Value};
 use std::cell::RefCell;
@@ -67,13 +67,13 @@
             }
         }
         Value::Number(number) => {
-            facts.insert(path.to_string(), Fact::Number(number.as_f64().unwrap_or(0.0) * scale));
+            facts.0.insert(path.to_string(), Fact::Number(number.as_f64().unwrap_or(0.0) * scale));
         }
         Value::String(text) => {
-            facts.insert(path.to_string(), Fact::Text(ours(text).to_string()));
+            facts.0.insert(path.to_string(), Fact::Text(ours(text).to_string()));
         }
         Value::Bool(flag) => {
-            facts.insert(path.to_string(), Fact::Flag(*flag));
+            facts.0.insert(path.to_string(), Fact::Flag(*flag));
         }
         Value::Null => (),
     }
@@ -226,7 +226,7 @@
     };
     match kind {
         "open_instance" => {
-            let mut facts = Facts::new();
+            let mut facts = Facts::default();
             flatten(
                 &mut facts,
                 "",
@@ -243,13 +243,12 @@
         }
         _ => (),
     }
-    let Some(control) = hosted.get_mut(&instance) else {
-        return Ok(());
-    };
+    let Some(control) = hosted.get_mut(&instance) else { return Ok(()) };
+    control.tell_time(now);
     match kind {
         "fleet" => match fields.text("scope")? {
-            "X" => control.list_failed(now),
-            scope @ ("D" | "F" | "C") => control.listed(now, scope != "D", fields.lines()?),
+            "X" => control.list_failed(),
+            scope @ ("D" | "F" | "C") => control.listed(scope != "D", fields.lines()?),
             other => return Err(format!("field 'scope' has a wrong value: \"{other}\"")),
         },
         "inbound" => {
@@ -262,7 +261,7 @@
                 until: fields.time("valid_until_ns")?,
                 spread: fields.number("spread").unwrap_or(1.0) as u32,
             };
-            control.arrived(now, arrival);
+            control.arrived(arrival);
         }
         "report_back" => {
             let end = Ended {
@@ -273,13 +272,13 @@
                 load: fields.load(),
             };
             let number = TryNumber(fields.whole("attempt")? as u32);
-            control.ended(now, &fields.text("txn")?.into(), number, end);
+            control.ended(&fields.text("txn")?.into(), number, end);
         }
-        "first_byte" => control.streaming(now, &fields.text("txn")?.into()),
-        "vanished" => control.gone(now, &fields.text("txn")?.into()),
-        "wake" => control.woken(now, WakeToken(fields.whole("token")?)),
+        "first_byte" => control.streaming(&fields.text("txn")?.into()),
+        "vanished" => control.gone(&fields.text("txn")?.into()),
+        "wake" => control.woken(WakeToken(fields.whole("token")?)),
         "tallied" => {
-            control.counted(now, CounterName(fields.whole("name")?), fields.counted()?);
+            control.counted(CounterName(fields.whole("name")?), fields.counted()?);
         }
         // Control sends no probes and no messages to peers, so their answers say nothing to it.
         _ => (),
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,11 +1,13 @@
-//! All decisions of one gateway. A carrier makes a `Control` with the settings, a seed and a `Port`, then hands it
-//! events through its public functions: `listed`, `arrived`, `counted`, `ended`, `gone`, `woken` and so on. Control
-//! answers through the `Port`. Both sides of that interface are described in `port.rs`.
+//! All decisions of one gateway. A carrier makes a `Control` with the settings, a seed and a `Port`, then
+//! before each event tells it the time and hands the event over: `listed`, `arrived`, `counted`, `ended`,
+//! `gone`, `woken` and so on. Control acts through the `Port`. Both sides of that interface are described in
+//! `port.rs`.
 //!
 //! An API call goes arrived -> hold (add 1 on the counter) -> charge (units from a block) -> send -> over ->
 //! another hold or the answer. Each step leaves a closure (`Next`) that is handed the step's result.
 
 use crate::port::*;
+use crate::state::*;
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -13,7 +15,8 @@
 const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
-/// Hold lifetime: the period of a holds' name, and how long before its edge open holds go into the next name.
+/// Hold lifetime: the period of a holds' name, and how long before its edge open holds go into the next
+/// name.
 const PERIOD: Duration = ms(3000);
 const RENEW_AHEAD: Duration = ms(100);
 /// How long the counter is left alone after it erred or lagged.
@@ -33,79 +36,18 @@
 const FORGET: Duration = ms(60_000);
 /// Distrust halves in this many seconds.
 const DISTRUST_HALF: f64 = 4.0;
-/// Tries open at a server to start with, over all gateways, and the share of the latency target that answers should stay under.
+/// Tries open at a server to start with, over all gateways, and the share of the latency target that answers
+/// should stay under.
 const ROOM: f64 = 16.0;
 const QUICK: f64 = 0.25;
 /// The part of a cold server's budget that is used.
 const COLD_SHARE: f64 = 0.4;
 /// A further try is paid from this share of the API calls taken.
 const TRY_SHARE: f64 = 0.2;
-/// A try that may be repeated is given this share of what is left to the latency target.
-const TRY_PATIENCE: f64 = 1.0;
 
 const TICK_TOKEN: WakeToken = WakeToken(1);
 const DUE_TOKEN: WakeToken = WakeToken(2);
 
-/// What a step leaves behind.
-type Next<R> = Box<dyn FnOnce(&mut Control, R)>;
-
-struct Call {
-    arrival: Arrival,
-    born: Duration,
-    tries: u32,
-    out: Option<TryNumber>,
-    last: Option<ServerId>,
-    /// When and where the first try that may have run was sent.
-    ran: Option<(Duration, ServerId)>,
-}
-
-struct Server {
-    listed: Listed,
-    open: u32,
-    /// Latency against the route's usual one, as a moving mean.
-    pace: f64,
-    distrust: f64,
-    faded: Duration,
-    /// How many tries this gateway may have open here: grows while answers are quick, shrinks when they are not.
-    room: f64,
-    cut: Duration,
-    /// Recent sends, by which a cold server's budget is kept.
-    sent: VecDeque<Duration>,
-}
-
-#[derive(Default)]
-struct Account {
-    spread: f64,
-    /// Holds of tries out through this gateway, each with the periods in whose names it is counted, and the period last renewed into.
-    holds: BTreeMap<u64, Vec<u64>>,
-    renewed: u64,
-    /// Units in hand, taken from a window's name.
-    block: f64,
-    /// The customer's store as the totals show it: its units, the window and total last seen, and when.
-    store: f64,
-    window: u64,
-    total: f64,
-    seen: Duration,
-    /// Recent demand in units a second.
-    demand: f64,
-    asked: Duration,
-    waiting: Vec<Next<bool>>,
-    refused_until: Duration,
-    /// The even split used in silence: units left and when they were last counted.
-    share: Option<(f64, Duration)>,
-    /// What a hard ceiling leaves to this gateway, and when it was last counted.
-    purse: Option<(f64, Duration)>,
-}
-
-impl Account {
-    /// The store refills at the rate, and gives what the total shows taken since the last look.
-    fn follow(&mut self, total: f64, now: Duration, rate: f64, burst: f64) {
-        let refill = now.saturating_sub(self.seen).as_secs_f64() * rate;
-        self.store = (self.store + refill - (total - self.total)).min(burst);
-        (self.total, self.seen) = (total, now);
-    }
-}
-
 pub struct Control {
     facts: Facts,
     port: Box<dyn Port>,
@@ -156,10 +98,10 @@
             done: (0.0, now),
         };
         control.port.wake(TICK_TOKEN, control.next_tick);
-        if control.text("registry_mode") == "subscribe" {
+        if control.facts.text("registry_mode") == "subscribe" {
             control.port.subscribe(true);
         }
-        if !control.flag("counter.present") {
+        if !control.facts.flag("counter.present") {
             control.skip_until = Duration::MAX;
         }
         control
@@ -167,46 +109,24 @@
 
     // ---- settings, picked where they are needed ----
 
-    fn number(&self, name: &str) -> f64 {
-        match self.facts.get(name) {
-            Some(Fact::Number(n)) => *n,
-            _ => 0.0,
-        }
-    }
-
-    fn span(&self, name: &str) -> Duration {
-        Duration::from_secs_f64(self.number(name).max(0.0))
-    }
-
-    fn text(&self, name: &str) -> &str {
-        match self.facts.get(name) {
-            Some(Fact::Text(text)) => text,
-            _ => "",
-        }
-    }
-
-    fn flag(&self, name: &str) -> bool {
-        matches!(self.facts.get(name), Some(Fact::Flag(true)))
-    }
-
     fn plan(&self, plan: &PlanName, what: &str) -> f64 {
-        self.number(&format!("plans.{}.{what}", plan.0))
+        self.facts.number(&format!("plans.{}.{what}", plan.0))
     }
 
     fn route(&self, route: &RouteName, what: &str) -> f64 {
-        self.number(&format!("routes.{}.{what}", route.0))
+        self.facts.number(&format!("routes.{}.{what}", route.0))
     }
 
     fn repeat(&self, route: &RouteName) -> &str {
-        self.text(&format!("routes.{}.repeat", route.0))
+        self.facts.text(&format!("routes.{}.repeat", route.0))
     }
 
     fn group(&self, route: &RouteName) -> &str {
-        self.text(&format!("routes.{}.group", route.0))
+        self.facts.text(&format!("routes.{}.group", route.0))
     }
 
-    /// The cap on upstream tries out at once; a plan that states none is counted under a generous one: all that
-    /// its burst and two seconds of its rate could put out.
+    /// The cap on upstream tries out at once; a plan that states none is counted under a generous one: all
+    /// that its burst and two seconds of its rate could put out.
     fn cap(&self, plan: &PlanName) -> f64 {
         match self.plan(plan, "cap") {
             stated if stated > 0.0 => stated,
@@ -214,11 +134,15 @@
         }
     }
 
-    // ---- events ----
+    // ---- events, each after the time was told ----
 
-    /// News of the server list: the whole of it, or changes only.
-    pub fn listed(&mut self, now: Duration, whole: bool, lines: Vec<Listed>) {
+    pub fn tell_time(&mut self, now: Duration) {
         self.now = now;
+    }
+
+    /// News of the server list: the whole of it, or changes only.
+    pub fn listed(&mut self, whole: bool, lines: Vec<Listed>) {
+        let now = self.now;
         if whole {
             self.servers.retain(|id, _| lines.iter().any(|line| line.server == *id));
         }
@@ -233,7 +157,7 @@
                     pace: 1.0,
                     distrust: 0.0,
                     faded: now,
-                    room: (ROOM / self.number("gateways").max(1.0)).max(1.0),
+                    room: (ROOM / self.facts.number("gateways").max(1.0)).max(1.0),
                     cut: now,
                     sent: VecDeque::new(),
                 },
@@ -243,13 +167,12 @@
     }
 
     /// A call for the server list failed or the subscription broke: it is asked for again.
-    pub fn list_failed(&mut self, now: Duration) {
-        self.now = now;
-        self.at(now + ms(500), Box::new(|c, ()| c.port.subscribe(true)));
+    pub fn list_failed(&mut self) {
+        self.at(self.now + ms(500), Box::new(|c, ()| c.port.subscribe(true)));
     }
 
-    pub fn arrived(&mut self, now: Duration, arrival: Arrival) {
-        self.now = now;
+    pub fn arrived(&mut self, arrival: Arrival) {
+        let now = self.now;
         let (rate, burst) = (self.plan(&arrival.plan, "rate"), self.plan(&arrival.plan, "burst"));
         let account = self.accounts.entry(arrival.customer.clone()).or_default();
         account.spread = f64::from(arrival.spread.max(1));
@@ -260,7 +183,7 @@
         let spent = account.refused_until > now;
         self.try_budget = (self.try_budget + TRY_SHARE).min(10.0);
         let (call, timed) = (arrival.call.clone(), arrival.call.clone());
-        let last = arrival.until.saturating_sub(self.span("resolution") * 2).max(now);
+        let last = arrival.until.saturating_sub(self.facts.span("resolution") * 2).max(now);
         let fresh = Call { arrival, born: now, tries: 0, out: None, last: None, ran: None };
         self.calls.insert(call.clone(), fresh);
         self.at(last, Box::new(move |c, ()| c.answer(&timed, 1.0)));
@@ -271,8 +194,8 @@
         self.hold(&call, Box::new(move |c, hold| c.held(asked, customer, hold)));
     }
 
-    /// The first try's hold was taken or refused: only now units are charged. A customer whose count is full is
-    /// refused for a moment without asking, so that its adds and withdrawals do not keep the count full.
+    /// The first try's hold was taken or refused: only now units are charged. A customer whose count is full
+    /// is refused for a moment without asking, so that its adds and withdrawals do not keep the count full.
     fn held(&mut self, call: CallId, customer: CustomerId, hold: Result<u64, f64>) {
         let hold = match hold {
             Ok(hold) => hold,
@@ -293,13 +216,12 @@
         self.charge(&call, Box::new(charged));
     }
 
-    pub fn counted(&mut self, now: Duration, name: CounterName, counted: Counted) {
-        self.now = now;
+    pub fn counted(&mut self, name: CounterName, counted: Counted) {
         if !matches!(counted, Counted::Total(_)) {
             if !self.skipping() {
                 self.port.log(&format!("counter skipped for {SKIP:?}: {counted:?}"));
             }
-            self.skip_until = self.skip_until.max(now + SKIP);
+            self.skip_until = self.skip_until.max(self.now + SKIP);
         }
         let Some(line) = self.counts.get_mut(&name) else { return };
         let next = line.pop_front();
@@ -311,29 +233,26 @@
         }
     }
 
-    pub fn ended(&mut self, now: Duration, call: &CallId, number: TryNumber, end: Ended) {
-        self.now = now;
+    pub fn ended(&mut self, call: &CallId, number: TryNumber, end: Ended) {
         if let Some(next) = self.tries.remove(&(call.clone(), number)) {
             next(self, end);
         }
     }
 
     /// The client has left.
-    pub fn gone(&mut self, now: Duration, call: &CallId) {
-        self.now = now;
-        if let Some(Call { out: Some(number), .. }) = self.calls.remove(call) {
-            self.cancel(call, number);
+    pub fn gone(&mut self, call: &CallId) {
+        if let Some(left) = self.calls.remove(call) {
+            self.cancel(call, &left);
         }
     }
 
     /// The answer has begun to stream: the try belongs to the client, and no time limit runs on.
-    pub fn streaming(&mut self, now: Duration, call: &CallId) {
-        self.now = now;
+    pub fn streaming(&mut self, call: &CallId) {
         self.calls.remove(call);
     }
 
-    pub fn woken(&mut self, now: Duration, token: WakeToken) {
-        self.now = now;
+    pub fn woken(&mut self, token: WakeToken) {
+        let now = self.now;
         if token == TICK_TOKEN && now >= self.next_tick {
             self.next_tick = now + TICK;
             self.port.wake(TICK_TOKEN, self.next_tick);
@@ -363,8 +282,8 @@
 
     // ---- the counter ----
 
-    /// A customer's number of a stretch of time, and when that began. Each customer's edges fall at a time of
-    /// its own, so that not all gateways renew all customers at one instant.
+    /// A customer's number of a stretch of time, and when that began. Each customer's edges fall at a time
+    /// of its own, so that not all gateways renew all customers at one instant.
     fn stretch(&self, customer: &CustomerId, length: Duration, at: Duration) -> (u64, Duration) {
         let length = length.as_nanos() as u64;
         let shift = fixed_hash(&customer.0, 0, 0) % length;
@@ -387,9 +306,10 @@
         self.add(CounterName(fixed_hash(&customer.0, 1, period)), by, PERIOD * 2, next);
     }
 
-    /// Step 2: adds one and waits for the total. The hold is kept by the account until it is released; refused,
-    /// the result tells how many calls are ahead. In silence a gateway's own tries stay in its share of the cap,
-    /// as its units do: an outage would else admit all. Harm: an uneven customer is refused at its busy gateway.
+    /// Step 2: adds one and waits for the total. The hold is kept by the account until it is released;
+    /// refused, the result tells how many calls are ahead. In silence a gateway's own tries stay in its
+    /// share of the cap, as its units do: an outage would else admit all. Harm: an uneven customer is
+    /// refused at its busy gateway.
     fn hold(&mut self, call: &CallId, next: Next<Result<u64, f64>>) {
         let arrival = &self.calls[call].arrival;
         let (customer, cap) = (arrival.customer.clone(), self.cap(&arrival.plan));
@@ -479,8 +399,8 @@
         let (customer, plan, units) = (arrival.customer.clone(), arrival.plan.clone(), arrival.units);
         let (rate, burst) = (self.plan(&plan, "rate"), self.plan(&plan, "burst"));
         let (now, silent) = (self.now, self.skipping());
-        // Under a hard ceiling the share starts from the followed store: it may have been spent before the silence,
-        // or by an earlier life of this gateway.
+        // Under a hard ceiling the share starts from the followed store: it may have been spent before the
+        // silence, or by an earlier life of this gateway.
         let hard = self.plan(&plan, "ceiling_rate") > 0.0;
         let account = self.accounts.entry(customer.clone()).or_default();
         if rate <= 0.0 || account.block >= units {
@@ -489,13 +409,9 @@
         }
         if silent {
             let full = burst / account.spread;
-            let (left, since) = account.share.unwrap_or((
-                if hard { full.min(account.store.max(0.0) / account.spread) } else { full },
-                now,
-            ));
-            let left = (left + (now - since).as_secs_f64() * rate / account.spread).min(full.max(units));
-            let enough = left >= units;
-            account.share = Some((if enough { left - units } else { left }, now));
+            let left = if hard { full.min(account.store.max(0.0) / account.spread) } else { full };
+            let share = account.share.get_or_insert(Purse { left, at: now });
+            let enough = share.pay(now, rate / account.spread, full.max(units), units);
             return next(self, enough);
         }
         account.share = None;
@@ -509,8 +425,9 @@
         }
     }
 
-    /// One add to the window's name takes a block; what the store cannot give goes back. The store is followed
-    /// from the totals: they tell what all gateways took since the last look. A new window first reads the last.
+    /// One add to the window's name takes a block; what the store cannot give goes back. The store is
+    /// followed from the totals: they tell what all gateways took since the last look. A new window first
+    /// reads the last.
     fn take(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) {
         let (rate, burst) = (self.plan(plan, "rate"), self.plan(plan, "burst"));
         let length = Duration::from_secs_f64(burst / rate);
@@ -575,7 +492,7 @@
 
     /// How much of its full work a server can do by now, by its age.
     fn warmth(&self, server: &Server) -> f64 {
-        let (from, span) = (self.number("rules.cold_from"), self.number("rules.cold"));
+        let (from, span) = (self.facts.number("rules.cold_from"), self.facts.number("rules.cold"));
         match server.listed.started {
             Some(start) if span > 0.0 => {
                 let age = self.now.saturating_sub(start).as_secs_f64();
@@ -585,24 +502,26 @@
         }
     }
 
-    /// Room for one more: the gateway's own limit, and for a cold server its part of what it can safely take.
+    /// Room for one more: the gateway's own limit, and for a cold server its part of what it can safely
+    /// take.
     fn has_room(&self, server: &Server) -> bool {
         let warmth = self.warmth(server);
         if warmth < 1.0 {
             let warm =
                 self.servers.values().filter(|server| self.warmth(server) >= 1.0).count().max(1) as f64;
-            let over = self.span("rules.overload_for");
+            let over = self.facts.span("rules.overload_for");
             let recent = server.sent.iter().filter(|at| **at + over > self.now).count() as f64;
             let usual = self.done.0 / warm * over.as_secs_f64();
-            if recent >= (usual * warmth * self.number("rules.fall_multiple") * COLD_SHARE).max(1.0) {
+            if recent >= (usual * warmth * self.facts.number("rules.fall_multiple") * COLD_SHARE).max(1.0) {
                 return false;
             }
         }
         f64::from(server.open) < (server.room * warmth).max(1.0)
     }
 
-    /// In overload what is worth least for its work goes first, before it costs counter calls. Load is the tries
-    /// open against the room for them; worth for work is measured against its mean over recent API calls.
+    /// In overload what is worth least for its work goes first, before it costs counter calls. Load is the
+    /// tries open against the room for them; worth for work is measured against its mean over recent API
+    /// calls.
     fn crowded(&mut self, call: &CallId) -> bool {
         let arrival = &self.calls[call].arrival;
         let value = self.route(&arrival.route, "billed_value") * self.plan(&arrival.plan, "price");
@@ -630,23 +549,20 @@
         let one = self.rng.generate_range(0..allowed.len());
         let two = (one + self.rng.generate_range(1..allowed.len().max(2))) % allowed.len();
         let (one, two) = (&allowed[one], &allowed[two]);
-        if self.cost(one) <= self.cost(two) {
-            one.clone()
-        } else {
-            two.clone()
-        }
+        let better = if self.cost(one) <= self.cost(two) { one } else { two };
+        better.clone()
     }
 
     /// The one place every upstream try passes: the rules on answers, effects, drains and cold servers.
     fn send(&mut self, call: CallId, customer: CustomerId, hold: u64) {
         let Some(asked) = self.calls.get(&call) else { return self.release(&customer, hold) };
         let (route, units) = (asked.arrival.route.clone(), asked.arrival.units);
-        let left = asked.arrival.until.saturating_sub(self.now);
+        let left = self.patience(asked);
         let (repeat, group) = (self.repeat(&route), self.group(&route));
         let memory = Duration::from_secs_f64(self.route(&route, "memory_span"));
         let harmless = |server: &Server| match (&asked.ran, repeat) {
             (None, _) | (_, "idempotent") => true,
-            (Some((when, first)), "tokened") if *when + memory > self.now + self.span("resolution") => {
+            (Some((when, first)), "tokened") if *when + memory > self.now + self.facts.span("resolution") => {
                 group == "all"
                     || self.servers.get(first).is_some_and(|first| match group {
                         "zone" => first.listed.zone == server.listed.zone,
@@ -668,10 +584,11 @@
         let barred = allowed.is_empty() || left.is_zero() || asked.out.is_some();
         if barred || (first && !self.under_ceiling(&customer, &plan, units)) {
             self.release(&customer, hold);
+            self.settle(&customer, if first { -units } else { 0.0 });
             return self.answer(&call, 1.0);
         }
         let at = self.choose(&allowed);
-        let (now, timeout) = (self.now, self.patience(&self.calls[&call], left));
+        let now = self.now;
         let server = self.servers.get_mut(&at).expect("chosen from the list");
         server.open += 1;
         server.sent.push_back(now);
@@ -679,7 +596,7 @@
         let asked = self.calls.get_mut(&call).expect("looked up above");
         let number = TryNumber(asked.tries);
         (asked.tries, asked.out, asked.last) = (asked.tries + 1, Some(number), Some(at.clone()));
-        self.port.send(&call, &at, timeout);
+        self.port.send(&call, &at, left);
         let key = (call.clone(), number);
         let over = move |c: &mut Control, end: Ended| {
             c.judge(&at, &route, &end);
@@ -690,35 +607,32 @@
         self.tries.insert(key, Box::new(over));
     }
 
-    /// A hard ceiling, kept by this gateway alone: its purse fills at the ceiling's rate, empty at a start since an
-    /// earlier life may have spent it; in silence a send counts for all gateways that may do the same unseen.
+    /// A hard ceiling, kept by this gateway alone: its purse fills at the ceiling's rate, empty at a start
+    /// since an earlier life may have spent it; in silence a send counts for all gateways that may do the
+    /// same.
     fn under_ceiling(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) -> bool {
         let (rate, depth) = (self.plan(plan, "ceiling_rate"), self.plan(plan, "ceiling_burst"));
         let (now, started, silent) = (self.now, self.started, self.skipping());
         let account = self.accounts.entry(customer.clone()).or_default();
         let price = if silent { units * account.spread } else { units };
-        let (left, at) = account.purse.unwrap_or((0.0, started));
-        let left = (left + (now - at).as_secs_f64() * rate).min(depth);
-        let fits = rate <= 0.0 || left >= price;
-        account.purse = Some((if fits { left - price } else { left }, now));
-        fits
+        rate <= 0.0
+            || account.ceiling.get_or_insert(Purse { left: 0.0, at: started }).pay(now, rate, depth, price)
     }
 
-    /// How long a try may take: a route that may be repeated leaves time for another try within the target.
-    fn patience(&self, asked: &Call, left: Duration) -> Duration {
-        let target = self.route(&asked.arrival.route, "latency_target");
-        let to_target = target - (self.now - asked.born).as_secs_f64();
-        if self.repeat(&asked.arrival.route) == "non-idempotent" || to_target < target * 0.3 {
-            return left;
-        }
-        left.min(Duration::from_secs_f64(to_target * TRY_PATIENCE))
+    /// How long an answer is still worth something.
+    fn patience(&self, asked: &Call) -> Duration {
+        let target = Duration::from_secs_f64(self.route(&asked.arrival.route, "latency_target"));
+        let worthless = self.route(&asked.arrival.route, "late_worth") <= 0.0;
+        let until =
+            if worthless { asked.arrival.until.min(asked.born + target) } else { asked.arrival.until };
+        until.saturating_sub(self.now)
     }
 
     /// Moves the server's pace, distrust and room by how a try ended.
     fn judge(&mut self, server: &ServerId, route: &RouteName, end: &Ended) {
         let (took, now) = (end.latency.as_secs_f64(), self.now);
         let quick = took < self.route(route, "latency_target") * QUICK;
-        let grow = 1.0 / self.number("gateways").max(1.0);
+        let grow = 1.0 / self.facts.number("gateways").max(1.0);
         let warm = self.servers.get(server).is_some_and(|server| self.warmth(server) >= 1.0);
         let usual = self.usual.entry(route.clone()).or_insert(took.max(0.001));
         let Some(server) = self.servers.get_mut(server) else { return };
@@ -755,11 +669,12 @@
         }
     }
 
-    /// A guess is settled against the block, or against the share where that is in use.
+    /// A guess is settled, and a call not sent gets its units back, against the block, or against the share
+    /// where that is in use.
     fn settle(&mut self, customer: &CustomerId, off: f64) {
         let account = self.accounts.entry(customer.clone()).or_default();
         match &mut account.share {
-            Some((left, _)) => *left -= off,
+            Some(share) => share.left -= off,
             None => account.block -= off,
         }
     }
@@ -777,9 +692,12 @@
         let (tries, once) = (asked.tries, asked.ran.is_some());
         let (customer, route) = (asked.arrival.customer.clone(), asked.arrival.route.clone());
         let barred = once && self.repeat(&route) == "non-idempotent";
-        let late = self.route(&route, "late_worth") <= 0.0
-            && (self.now - self.calls[call].born).as_secs_f64() >= self.route(&route, "latency_target") * 0.9;
-        if late || barred || f64::from(tries) >= self.number("limits.max_attempts") || self.try_budget < 1.0 {
+        let late = self.patience(&self.calls[call]) < ms(50);
+        if late
+            || barred
+            || f64::from(tries) >= self.facts.number("limits.max_attempts")
+            || self.try_budget < 1.0
+        {
             return self.answer(call, 1.0);
         }
         self.try_budget -= 1.0;
@@ -791,8 +709,8 @@
         self.hold(call, Box::new(held));
     }
 
-    fn cancel(&mut self, call: &CallId, number: TryNumber) {
-        if self.flag("limits.cancelling") {
+    fn cancel(&mut self, call: &CallId, asked: &Call) {
+        if let Some(number) = asked.out.filter(|_| self.facts.flag("limits.cancelling")) {
             self.port.cancel(call, number);
         }
     }
@@ -800,9 +718,7 @@
     /// The one final answer. Rate-limited where it is harmless to come again, else errored.
     fn answer(&mut self, call: &CallId, ahead: f64) {
         let Some(asked) = self.calls.remove(call) else { return };
-        if let Some(number) = asked.out {
-            self.cancel(call, number);
-        }
+        self.cancel(call, &asked);
         let route = &asked.arrival.route;
         let ran = asked.out.is_some() || asked.ran.is_some();
         match self.repeat(route) {
@@ -812,12 +728,3 @@
         }
     }
 }
-
-/// A hash that is the same at every gateway and in every build, below 2^63.
-fn fixed_hash(text: &str, kind: u8, number: u64) -> u64 {
-    let bytes = text.bytes().chain([kind]).chain(number.to_le_bytes());
-    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
-    (hash ^ (hash >> 29)) >> 1
-}
--- a/src/port.rs
+++ b/src/port.rs
@@ -33,8 +33,34 @@
 pub struct WakeToken(pub u64);
 
 /// Settings: names to values. Nested names are joined by dots; a list's element goes by its own name where it
-/// has one and by its place otherwise (`plans.basic.rate`, `zones.0`). Spans are in seconds.
-pub type Facts = BTreeMap<String, Fact>;
+/// has one and by its place otherwise (`plans.basic.rate`, `zones.0`). Spans are in seconds. What is not there
+/// reads as nothing: 0, "", false.
+#[derive(Clone, Default, Debug)]
+pub struct Facts(pub BTreeMap<String, Fact>);
+
+impl Facts {
+    pub fn number(&self, name: &str) -> f64 {
+        match self.0.get(name) {
+            Some(Fact::Number(number)) => *number,
+            _ => 0.0,
+        }
+    }
+
+    pub fn span(&self, name: &str) -> Duration {
+        Duration::from_secs_f64(self.number(name).max(0.0))
+    }
+
+    pub fn text(&self, name: &str) -> &str {
+        match self.0.get(name) {
+            Some(Fact::Text(text)) => text,
+            _ => "",
+        }
+    }
+
+    pub fn flag(&self, name: &str) -> bool {
+        matches!(self.0.get(name), Some(Fact::Flag(true)))
+    }
+}
 
 #[derive(Clone, PartialEq, Debug)]
 pub enum Fact {
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,94 @@
+//! What a gateway remembers, without any decision: records of API calls, servers and customers, units that
+//! refill, and a hash for counter names.
+
+use crate::control::Control;
+use crate::port::*;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// What a step leaves behind.
+pub type Next<R> = Box<dyn FnOnce(&mut Control, R)>;
+
+pub struct Call {
+    pub arrival: Arrival,
+    pub born: Duration,
+    pub tries: u32,
+    pub out: Option<TryNumber>,
+    pub last: Option<ServerId>,
+    /// When and where the first try that may have run was sent.
+    pub ran: Option<(Duration, ServerId)>,
+}
+
+pub struct Server {
+    pub listed: Listed,
+    pub open: u32,
+    /// Latency against the route's usual one, as a moving mean.
+    pub pace: f64,
+    pub distrust: f64,
+    pub faded: Duration,
+    /// How many tries this gateway may have open here: grows on quick answers, shrinks on slow ones.
+    pub room: f64,
+    pub cut: Duration,
+    /// Recent sends, by which a cold server's budget is kept.
+    pub sent: VecDeque<Duration>,
+}
+
+/// Units that refill with time.
+#[derive(Clone, Copy, Default)]
+pub struct Purse {
+    pub left: f64,
+    pub at: Duration,
+}
+
+impl Purse {
+    pub fn pay(&mut self, now: Duration, rate: f64, depth: f64, price: f64) -> bool {
+        self.left = (self.left + now.saturating_sub(self.at).as_secs_f64() * rate).min(depth);
+        self.at = now;
+        let fits = self.left >= price;
+        self.left -= if fits { price } else { 0.0 };
+        fits
+    }
+}
+
+#[derive(Default)]
+pub struct Account {
+    pub spread: f64,
+    /// Holds of tries out through this gateway, each with the periods in whose names it is counted, and the
+    /// period last renewed into.
+    pub holds: BTreeMap<u64, Vec<u64>>,
+    pub renewed: u64,
+    /// Units in hand, taken from a window's name.
+    pub block: f64,
+    /// The customer's store as the totals show it: its units, the window and total last seen, and when.
+    pub store: f64,
+    pub window: u64,
+    pub total: f64,
+    pub seen: Duration,
+    /// Recent demand in units a second.
+    pub demand: f64,
+    pub asked: Duration,
+    pub waiting: Vec<Next<bool>>,
+    pub refused_until: Duration,
+    /// The even split, while it is used in silence.
+    pub share: Option<Purse>,
+    /// What a hard ceiling leaves to this gateway.
+    pub ceiling: Option<Purse>,
+}
+
+impl Account {
+    /// The store refills at the rate, and gives what the total shows taken since the last look.
+    pub fn follow(&mut self, total: f64, now: Duration, rate: f64, burst: f64) {
+        let refill = now.saturating_sub(self.seen).as_secs_f64() * rate;
+        self.store = (self.store + refill - (total - self.total)).min(burst);
+        (self.total, self.seen) = (total, now);
+    }
+}
+
+/// A hash that is the same at every gateway and in every build, below 2^63.
+pub fn fixed_hash(text: &str, kind: u8, number: u64) -> u64 {
+    let bytes = text.bytes().chain([kind]).chain(number.to_le_bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    (hash ^ (hash >> 29)) >> 1
+}
