--- a/src/control.rs
+++ b/src/control.rs
@@ -456,7 +456,9 @@
             };
             return self.add(last, 0.0, keep, Box::new(told));
         }
-        let wanted = (account.demand * length.as_secs_f64()).min(burst / account.spread);
+        let split = burst / account.spread;
+        let wanted = if account.known { split.min(account.demand * length.as_secs_f64()) } else { split };
+        account.known = true;
         let size = (wanted.max(units) - account.block).ceil();
         let told = move |c: &mut Control, counted| {
             let now = c.now;
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,7 +64,8 @@
     pub window: u64,
     pub total: f64,
     pub seen: Duration,
-    /// Recent demand in units a second.
+    /// Recent demand in units a second, once a first block was taken.
+    pub known: bool,
     pub demand: f64,
     pub asked: Duration,
     pub waiting: Vec<Next<bool>>,
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,259 @@
+//! Plays every scenario in `tests/scenarios`. A scenario is a text file of steps, one a line:
+//!
+//! ```text
+//! use common                      settings from common.set, one "name value" a line
+//! set plans.p.cap 2               one more setting
+//! at 0.5                          moves the clock, waking the gateway on the way; starts it the first time
+//! list a b/7 c@0.4 d!             the server list: a server, one of cell 7, one started at 0.4, one draining
+//! change d-                       a change: d is gone
+//! call r1 ann p get 2.5 [units]   an API call: id, customer, plan, route, client timeout in seconds
+//! total H 1 | refused H | lost H  the counter answers the oldest open add on the name labelled H; before it
+//!                                 what was given back there is answered too
+//! wait                            moves the clock in steps of 10 ms until something is done
+//! end r1 0 proxied [units]        an upstream try ends: proxied error full silence unreachable reset
+//! gone r1                         the client has left
+//! > count H +1                    expected, in order and complete: count, send, limit, error, cancel
+//! ```
+//!
+//! A label is bound to a counter name where it is first seen; `send r1 *` takes any server.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+use wellcrank::control::Control;
+use wellcrank::port::*;
+
+#[derive(Default)]
+struct Seen {
+    actions: Vec<String>,
+    wakes: Vec<(Duration, u64)>,
+    /// Amounts added to a name and not answered yet.
+    asked: BTreeMap<u64, VecDeque<f64>>,
+}
+
+#[derive(Clone, Default)]
+struct Recorder(Rc<RefCell<Seen>>);
+
+impl Recorder {
+    fn note(&self, text: String) {
+        self.0.borrow_mut().actions.push(text);
+    }
+}
+
+impl Port for Recorder {
+    fn send(&mut self, call: &CallId, server: &ServerId, _: Duration) {
+        self.note(format!("send {} {}", call.0, server.0));
+    }
+    fn cancel(&mut self, call: &CallId, number: TryNumber) {
+        self.note(format!("cancel {} {}", call.0, number.0));
+    }
+    fn rate_limit(&mut self, call: &CallId, retry_after: Duration) {
+        self.note(format!("limit {} {}", call.0, retry_after.as_secs_f64()));
+    }
+    fn error(&mut self, call: &CallId) {
+        self.note(format!("error {}", call.0));
+    }
+    fn count(&mut self, name: CounterName, add: f64, _: Duration) {
+        self.note(format!("count {} {add:+}", name.0));
+        self.0.borrow_mut().asked.entry(name.0).or_default().push_back(add);
+    }
+    fn wake(&mut self, token: WakeToken, at: Duration) {
+        self.0.borrow_mut().wakes.push((at, token.0));
+    }
+    fn subscribe(&mut self, on: bool) {
+        self.note(format!("subscribe {on}"));
+    }
+    fn probe(&mut self, _: &ServerId) {}
+    fn refetch(&mut self) {}
+    fn release(&mut self, _: &ServerId) {}
+    fn tell(&mut self, _: Option<u32>, _: &[u8]) {}
+    fn log(&mut self, _: &str) {}
+}
+
+#[derive(Default)]
+struct Stage {
+    facts: Facts,
+    seen: Recorder,
+    control: Option<Control>,
+    now: Duration,
+    labels: BTreeMap<String, u64>,
+}
+
+fn number(word: &str) -> f64 {
+    word.parse().unwrap_or_else(|_| panic!("'{word}' is no number"))
+}
+
+fn server(word: &str) -> Listed {
+    let name = word.trim_end_matches(['!', '-']);
+    let (name, since) = name.split_once('@').map_or((name, None), |(name, at)| (name, Some(number(at))));
+    let (name, cell) = name.split_once('/').unwrap_or((name, "0"));
+    let phase = match word.chars().last() {
+        Some('!') => Phase::Draining,
+        Some('-') => Phase::Gone,
+        _ => Phase::Ready,
+    };
+    let started = since.map(Duration::from_secs_f64);
+    Listed {
+        server: name.into(),
+        phase,
+        started,
+        cell: number(cell) as u64,
+        zone: String::new(),
+        weight: 1.0,
+    }
+}
+
+impl Stage {
+    fn set(&mut self, name: &str, value: &str) {
+        let fact = match (value.parse(), value) {
+            (Ok(number), _) => Fact::Number(number),
+            (_, "true" | "false") => Fact::Flag(value == "true"),
+            _ => Fact::Text(value.to_string()),
+        };
+        self.facts.0.insert(name.to_string(), fact);
+    }
+
+    fn go_to(&mut self, at: Duration) {
+        let control = self
+            .control
+            .get_or_insert_with(|| Control::new(self.facts.clone(), 7, at, Box::new(self.seen.clone())));
+        loop {
+            let next = self.seen.0.borrow().wakes.iter().filter(|wake| wake.0 <= at).min().copied();
+            let Some(wake) = next else { break };
+            self.seen.0.borrow_mut().wakes.retain(|other| *other != wake);
+            control.tell_time(wake.0);
+            control.woken(WakeToken(wake.1));
+        }
+        self.now = at;
+        control.tell_time(at);
+    }
+
+    fn name(&mut self, label: &str) -> CounterName {
+        CounterName(*self.labels.get(label).unwrap_or_else(|| panic!("label {label} was not seen yet")))
+    }
+
+    /// Compares an expected action with the next one seen; a new label takes the name it meets.
+    fn expect(&mut self, wanted: &[&str]) {
+        assert!(!self.seen.0.borrow().actions.is_empty(), "nothing was done");
+        let got = self.seen.0.borrow_mut().actions.remove(0);
+        let words: Vec<&str> = got.split(' ').collect();
+        if let (["count", label, _], ["count", name, _]) = (wanted, &words[..]) {
+            let name: u64 = name.parse().expect("a name");
+            if !self.labels.values().any(|known| *known == name) {
+                self.labels.entry(label.to_string()).or_insert(name);
+            }
+            assert_eq!(self.labels.get(*label), Some(&name), "another name than {label}: {got}");
+        }
+        let alike = |(wanted, got): (&&str, &&str)| {
+            wanted == got || *wanted == "*" || self.labels.contains_key(*wanted)
+        };
+        assert!(wanted.len() == words.len() && wanted.iter().zip(&words).all(alike), "got: {got}");
+    }
+
+    fn step(&mut self, words: &[&str]) {
+        if let [">", wanted @ ..] = words {
+            return self.expect(wanted);
+        }
+        assert!(self.seen.0.borrow().actions.is_empty(), "not expected: {:?}", self.seen.0.borrow().actions);
+        match words {
+            ["use", file] => {
+                let path = format!("tests/scenarios/{file}.set");
+                let text = std::fs::read_to_string(path).expect("a settings file");
+                for line in text.lines().filter(|line| !line.is_empty()) {
+                    let (name, value) = line.split_once(' ').expect("a name and a value");
+                    self.set(name, value.trim());
+                }
+                return;
+            }
+            ["set", name, value] => return self.set(name, value),
+            ["wait"] => {
+                while self.seen.0.borrow().actions.is_empty() {
+                    self.go_to(self.now + Duration::from_millis(10));
+                }
+                return;
+            }
+            ["at", time] => return self.go_to(Duration::from_secs_f64(number(time))),
+            _ => (),
+        }
+        let counter = match words {
+            ["total" | "refused" | "lost", label, ..] => Some(self.name(label)),
+            _ => None,
+        };
+        let control = self.control.as_mut().expect("'at' comes first");
+        match (words, counter) {
+            (["list", servers @ ..], _) => {
+                control.listed(true, servers.iter().map(|word| server(word)).collect())
+            }
+            (["change", servers @ ..], _) => {
+                control.listed(false, servers.iter().map(|word| server(word)).collect())
+            }
+            (["call", call, customer, plan, route, timeout, units @ ..], _) => control.arrived(Arrival {
+                call: (*call).into(),
+                customer: (*customer).into(),
+                plan: (*plan).into(),
+                route: (*route).into(),
+                units: units.first().map_or(1.0, |units| number(units)),
+                until: self.now + Duration::from_secs_f64(number(timeout)),
+                spread: 2,
+            }),
+            ([how, _, total @ ..], Some(name)) => loop {
+                let add = self.seen.0.borrow_mut().asked.get_mut(&name.0).and_then(VecDeque::pop_front);
+                match add.expect("an open call on this name") {
+                    given if given < 0.0 => control.counted(name, Counted::Total(0.0)),
+                    _ if *how == "refused" => break control.counted(name, Counted::NotAdded),
+                    _ if *how == "lost" => break control.counted(name, Counted::Unsure),
+                    _ => break control.counted(name, Counted::Total(number(total[0]))),
+                }
+            },
+            (["end", call, attempt, how, settled @ ..], _) => {
+                let outcome = match *how {
+                    "proxied" => Outcome::Proxied,
+                    "error" => Outcome::ServerError,
+                    "full" => Outcome::TurnedAway,
+                    "silence" => Outcome::TimedOut,
+                    "unreachable" => Outcome::NoConnection,
+                    "reset" => Outcome::Broken,
+                    other => panic!("no such end: {other}"),
+                };
+                let end = Ended {
+                    outcome,
+                    latency: Duration::from_millis(20),
+                    closed: outcome == Outcome::Proxied,
+                    settled: settled.first().map(|units| number(units)),
+                    load: BTreeMap::new(),
+                };
+                control.ended(&(*call).into(), TryNumber(number(attempt) as u32), end);
+            }
+            (["gone", call], _) => control.gone(&(*call).into()),
+            _ => panic!("no such step"),
+        }
+    }
+}
+
+#[test]
+fn every_scenario() {
+    let mut files: Vec<_> =
+        std::fs::read_dir("tests/scenarios").expect("the folder").map(|f| f.unwrap().path()).collect();
+    files.retain(|path| path.extension().is_some_and(|kind| kind == "txt"));
+    files.sort();
+    assert!(!files.is_empty(), "no scenario found");
+    let mut failed = Vec::new();
+    for path in files {
+        let mut stage = Stage::default();
+        let text = std::fs::read_to_string(&path).expect("a scenario");
+        let lines: Vec<_> = text.lines().map(|line| line.split('#').next().unwrap_or("").trim()).collect();
+        for (place, line) in lines.iter().enumerate().filter(|(_, line)| !line.is_empty()) {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let play = std::panic::AssertUnwindSafe(|| stage.step(&words));
+            if std::panic::catch_unwind(play).is_err() {
+                failed.push(format!("{}:{}: {line}", path.display(), place + 1));
+                break;
+            }
+        }
+        if !stage.seen.0.borrow().actions.is_empty() {
+            failed.push(format!("{}: left over: {:?}", path.display(), stage.seen.0.borrow().actions));
+        }
+    }
+    assert!(failed.is_empty(), "\n{}", failed.join("\n"));
+}
