--- a/src/control.rs
+++ b/src/control.rs
@@ -282,13 +282,13 @@
 
     // ---- the counter ----
 
-    /// A customer's number of a stretch of time, and when that began. Each customer's edges fall at a time
+    /// A customer's number of a stretch of time (2 and up), and when that began. Each customer's edges fall at a time
     /// of its own, so that not all gateways renew all customers at one instant.
     fn stretch(&self, customer: &CustomerId, length: Duration, at: Duration) -> (u64, Duration) {
         let length = length.as_nanos() as u64;
         let shift = fixed_hash(&customer.0, 0, 0) % length;
         let number = (at.as_nanos() as u64 + shift) / length;
-        (number, Duration::from_nanos((number * length).saturating_sub(shift)))
+        (number + 2, Duration::from_nanos((number * length).saturating_sub(shift)))
     }
 
     fn skipping(&self) -> bool {
