--- a/src/control.rs
+++ b/src/control.rs
@@ -117,12 +117,8 @@
         self.facts.number(&format!("routes.{}.{what}", route.0))
     }
 
-    fn repeat(&self, route: &RouteName) -> &str {
-        self.facts.text(&format!("routes.{}.repeat", route.0))
-    }
-
-    fn group(&self, route: &RouteName) -> &str {
-        self.facts.text(&format!("routes.{}.group", route.0))
+    fn said(&self, route: &RouteName, what: &str) -> &str {
+        self.facts.text(&format!("routes.{}.{what}", route.0))
     }
 
     /// The cap on upstream tries out at once; a plan that states none is counted under a generous one: all
@@ -560,7 +556,7 @@
         let Some(asked) = self.calls.get(&call) else { return self.release(&customer, hold) };
         let (route, units) = (asked.arrival.route.clone(), asked.arrival.units);
         let left = self.patience(asked);
-        let (repeat, group) = (self.repeat(&route), self.group(&route));
+        let (repeat, group) = (self.said(&route, "repeat"), self.said(&route, "group"));
         let memory = Duration::from_secs_f64(self.route(&route, "memory_span"));
         let harmless = |server: &Server| match (&asked.ran, repeat) {
             (None, _) | (_, "idempotent") => true,
@@ -693,7 +689,7 @@
         }
         let (tries, once) = (asked.tries, asked.ran.is_some());
         let (customer, route) = (asked.arrival.customer.clone(), asked.arrival.route.clone());
-        let barred = once && self.repeat(&route) == "non-idempotent";
+        let barred = once && self.said(&route, "repeat") == "non-idempotent";
         let late = self.patience(&self.calls[call]) < ms(50);
         if late
             || barred
@@ -723,8 +719,8 @@
         self.cancel(call, &asked);
         let route = &asked.arrival.route;
         let ran = asked.out.is_some() || asked.ran.is_some();
-        match self.repeat(route) {
-            "tokened" if ran && self.group(route) != "all" => self.port.error(call),
+        match self.said(route, "repeat") {
+            "tokened" if ran && self.said(route, "group") != "all" => self.port.error(call),
             "non-idempotent" if ran => self.port.error(call),
             _ => self.port.rate_limit(call, ADVICE.mul_f64(ahead.max(1.0)).min(LONGEST_ADVICE)),
         }
