In silence shares of a cap sum to it, the remainder going round; calm customers may have one out

Guards any silence of the counter; harm: a customer busy at one gateway is refused there while it is not that gateway's turn.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -259,6 +259,7 @@
                 route: fields.text("qos")?.into(),
                 units: fields.number("size_units").unwrap_or(1.0),
                 until: fields.time("valid_until_ns")?,
+                first: fields.number("from_no").unwrap_or(0.0) as u32,
                 spread: fields.number("spread").unwrap_or(1.0) as u32,
             };
             control.arrived(arrival);
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,9 +12,6 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-const fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
 /// Hold lifetime: the period of a holds' name, and how long before its edge open holds go into the next
 /// name.
 const PERIOD: Duration = ms(3000);
@@ -45,9 +42,6 @@
 /// A further try is paid from this share of the API calls taken.
 const TRY_SHARE: f64 = 0.2;
 
-const TICK_TOKEN: WakeToken = WakeToken(1);
-const DUE_TOKEN: WakeToken = WakeToken(2);
-
 pub struct Control {
     facts: Facts,
     port: Box<dyn Port>,
@@ -170,8 +164,10 @@
     pub fn arrived(&mut self, arrival: Arrival) {
         let now = self.now;
         let (rate, burst) = (self.plan(&arrival.plan, "rate"), self.plan(&arrival.plan, "burst"));
+        let all = self.facts.number("gateways").max(1.0);
+        let rank = (self.facts.number("index") - f64::from(arrival.first)).rem_euclid(all);
         let account = self.accounts.entry(arrival.customer.clone()).or_default();
-        account.spread = f64::from(arrival.spread.max(1));
+        (account.spread, account.rank) = (f64::from(arrival.spread.max(1)), rank);
         let window = if rate > 0.0 { burst / rate } else { 1.0 };
         let idle = now.saturating_sub(account.asked).as_secs_f64();
         account.demand = account.demand * (-idle / window).exp() + arrival.units / window;
@@ -309,13 +305,17 @@
     fn hold(&mut self, call: &CallId, next: Next<Result<u64, f64>>) {
         let arrival = &self.calls[call].arrival;
         let (customer, cap) = (arrival.customer.clone(), self.cap(&arrival.plan));
+        // How long a unit of demand is out: the route's usual latency.
+        let each = self.usual.get(&arrival.route).copied().unwrap_or(0.0) / arrival.units.max(1.0);
         let (owner, period) = (customer.clone(), self.stretch(&customer, PERIOD, self.now).0);
         self.next_id += 1;
         let id = self.next_id;
         let told = move |c: &mut Control, counted| {
             let now = c.stretch(&owner, PERIOD, c.now).0;
             let account = c.accounts.entry(owner.clone()).or_default();
-            let share = (cap / account.spread).floor().max(1.0);
+            let (spread, turn) = (account.spread, (account.rank + now as f64) % account.spread);
+            let share = (cap / spread).floor() + if turn < cap % spread { 1.0 } else { 0.0 };
+            let share = share.max(if account.demand * spread * each < cap * CALM { 1.0 } else { 0.0 });
             match counted {
                 Counted::Total(total) if total > cap => {
                     c.add_hold(&owner, period, -1.0, Box::new(|_, _| ()));
--- a/src/port.rs
+++ b/src/port.rs
@@ -117,7 +117,8 @@
     pub route: RouteName,
     pub units: f64,
     pub until: Duration,
-    /// How many gateways may get this customer's API calls.
+    /// The gateways that may get this customer's API calls: the first one's number, and how many in a row.
+    pub first: u32,
     pub spread: u32,
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,13 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+pub const TICK_TOKEN: WakeToken = WakeToken(1);
+pub const DUE_TOKEN: WakeToken = WakeToken(2);
+
+pub const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
 /// What a step leaves behind.
 pub type Next<R> = Box<dyn FnOnce(&mut Control, R)>;
 
@@ -52,7 +59,9 @@
 
 #[derive(Default)]
 pub struct Account {
+    /// How many gateways the customer comes through, and this one's place among them.
     pub spread: f64,
+    pub rank: f64,
     /// Holds of tries out through this gateway, each with the periods in whose names it is counted, and the
     /// period last renewed into.
     pub holds: BTreeMap<u64, Vec<u64>>,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -77,6 +77,7 @@
     seen: Recorder,
     control: Option<Control>,
     now: Duration,
+    sent: BTreeMap<String, Duration>,
     labels: BTreeMap<String, u64>,
 }
 
@@ -138,6 +139,9 @@
         assert!(!self.seen.0.borrow().actions.is_empty(), "nothing was done");
         let got = self.seen.0.borrow_mut().actions.remove(0);
         let words: Vec<&str> = got.split(' ').collect();
+        if let ["send", call, _] = words[..] {
+            self.sent.insert(call.to_string(), self.now);
+        }
         if let (["count", label, _], ["count", name, _]) = (wanted, &words[..]) {
             let name: u64 = name.parse().expect("a name");
             if !self.labels.values().any(|known| *known == name) {
@@ -195,6 +199,7 @@
                 route: (*route).into(),
                 units: units.first().map_or(1.0, |units| number(units)),
                 until: self.now + Duration::from_secs_f64(number(timeout)),
+                first: 0,
                 spread: 2,
             }),
             ([how, _, total @ ..], Some(name)) => loop {
@@ -218,7 +223,7 @@
                 };
                 let end = Ended {
                     outcome,
-                    latency: Duration::from_millis(20),
+                    latency: self.now - self.sent.get(*call).copied().unwrap_or(self.now),
                     closed: outcome == Outcome::Proxied,
                     settled: settled.first().map(|units| number(units)),
                     load: BTreeMap::new(),
