--- a/src/control.rs
+++ b/src/control.rs
@@ -405,12 +405,21 @@
         }
         if silent {
             let full = burst / account.spread;
-            let left = if hard { full.min(account.store.max(0.0) / account.spread) } else { full };
+            let store = account.store + now.saturating_sub(account.seen).as_secs_f64() * rate;
+            let known = full.min(store.max(0.0) / account.spread);
+            let left = if account.known {
+                known
+            } else {
+                if hard {
+                    0.0
+                } else {
+                    full
+                }
+            };
             let share = account.share.get_or_insert(Purse { left, at: now });
             let enough = share.pay(now, rate / account.spread, full.max(units), units);
             return next(self, enough);
         }
-        account.share = None;
         let again = call.clone();
         account.waiting.push(Box::new(move |c, more| match more {
             true => c.charge(&again, next),
@@ -432,10 +441,15 @@
         let (this, last, keep) = (name(window), name(window.wrapping_sub(1)), length * 3);
         let (owner, terms) = (customer.clone(), plan.clone());
         let account = self.accounts.entry(customer.clone()).or_default();
+        let silence = account.share.take();
         if account.window != window {
             if account.window + 1 != window {
                 (account.store, account.total, account.seen) = (burst, 0.0, start.saturating_sub(length));
             }
+            if let Some(share) = silence {
+                // What was left of the share in silence tells what the store may hold, if all fared alike.
+                (account.store, account.seen) = ((share.left * account.spread).min(burst), share.at);
+            }
             account.window = window;
             if account.demand * account.spread < rate * CALM {
                 account.follow(account.total, start.max(account.seen), rate, burst);
