Room may fall below one a gateway; nothing is taken from the counter while it is skipped

A take that followed a failed read still went to the counter; those who wait now turn to the split at once.

--- a/src/control.rs
+++ b/src/control.rs
@@ -1,7 +1,6 @@
 //! All decisions of one gateway. A carrier makes a `Control` with the settings, a seed and a `Port`, then
 //! before each event tells it the time and hands the event over: `listed`, `arrived`, `counted`, `ended`,
-//! `gone`, `woken` and so on. Control acts through the `Port`. Both sides of that interface are described in
-//! `port.rs`.
+//! `gone`, `woken` and so on. Control acts through the `Port`; `port.rs` describes both sides of it.
 //!
 //! An API call goes arrived -> hold (add 1 on the counter) -> charge (units from a block) -> send -> over ->
 //! another hold or the answer. Each step leaves a closure (`Next`) that is handed the step's result.
@@ -12,8 +11,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// Hold lifetime: the period of a holds' name, and how long before its edge open holds go into the next
-/// name.
+/// Hold lifetime, the period of a holds' name, and how long before its edge the holds are renewed.
 const PERIOD: Duration = ms(3000);
 const RENEW_AHEAD: Duration = ms(100);
 /// How long the counter is left alone after it erred or lagged.
@@ -33,8 +31,7 @@
 const FORGET: Duration = ms(60_000);
 /// Distrust halves in this many seconds.
 const DISTRUST_HALF: f64 = 4.0;
-/// Tries open at a server to start with, over all gateways, and the share of the latency target that answers
-/// should stay under.
+/// Tries open at a server to start with, over all gateways; the share of the latency target for answers.
 const ROOM: f64 = 16.0;
 const QUICK: f64 = 0.25;
 /// The part of a cold server's budget that is used.
@@ -118,10 +115,9 @@
     /// The cap on upstream tries out at once; a plan that states none is counted under a generous one: all
     /// that its burst and two seconds of its rate could put out.
     fn cap(&self, plan: &PlanName) -> f64 {
-        match self.plan(plan, "cap") {
-            stated if stated > 0.0 => stated,
-            _ => (self.plan(plan, "burst") + self.plan(plan, "rate") * 2.0).max(4.0).ceil(),
-        }
+        let (stated, burst, rate) =
+            (self.plan(plan, "cap"), self.plan(plan, "burst"), self.plan(plan, "rate"));
+        Some(stated).filter(|cap| *cap > 0.0).unwrap_or((burst + rate * 2.0).max(4.0).ceil())
     }
 
     // ---- events, each after the time was told ----
@@ -147,7 +143,7 @@
                     pace: 1.0,
                     distrust: 0.0,
                     faded: now,
-                    room: (ROOM / self.facts.number("gateways").max(1.0)).max(1.0),
+                    room: ROOM / self.facts.number("gateways").max(1.0),
                     cut: now,
                     sent: VecDeque::new(),
                 },
@@ -216,13 +212,11 @@
             self.skip_until = self.skip_until.max(self.now + SKIP);
         }
         let Some(line) = self.counts.get_mut(&name) else { return };
-        let next = line.pop_front();
+        let Some(next) = line.pop_front() else { return };
         if line.is_empty() {
             self.counts.remove(&name);
         }
-        if let Some(next) = next {
-            next(self, counted);
-        }
+        next(self, counted);
     }
 
     pub fn ended(&mut self, call: &CallId, number: TryNumber, end: Ended) {
@@ -395,8 +389,8 @@
         let (customer, plan, units) = (arrival.customer.clone(), arrival.plan.clone(), arrival.units);
         let (rate, burst) = (self.plan(&plan, "rate"), self.plan(&plan, "burst"));
         let (now, silent) = (self.now, self.skipping());
-        // Under a hard ceiling the share starts from the followed store: it may have been spent before the
-        // silence, or by an earlier life of this gateway.
+        // The share starts from the followed store. Under a hard ceiling one never followed starts empty: an
+        // earlier life of this gateway may have spent it.
         let hard = self.plan(&plan, "ceiling_rate") > 0.0;
         let account = self.accounts.entry(customer.clone()).or_default();
         if rate <= 0.0 || account.block >= units {
@@ -406,15 +400,11 @@
         if silent {
             let full = burst / account.spread;
             let store = account.store + now.saturating_sub(account.seen).as_secs_f64() * rate;
-            let known = full.min(store.max(0.0) / account.spread);
-            let left = if account.known {
-                known
-            } else {
-                if hard {
-                    0.0
-                } else {
-                    full
-                }
+            let known = (store / account.spread).clamp(0.0, full);
+            let left = match (account.known, hard) {
+                (true, _) => known,
+                (false, true) => 0.0,
+                (false, false) => full,
             };
             let share = account.share.get_or_insert(Purse { left, at: now });
             let enough = share.pay(now, rate / account.spread, full.max(units), units);
@@ -431,9 +421,11 @@
     }
 
     /// One add to the window's name takes a block; what the store cannot give goes back. The store is
-    /// followed from the totals: they tell what all gateways took since the last look. A new window first
-    /// reads the last.
+    /// followed from the totals: they tell what all gateways took since the last look. A new window reads the last.
     fn take(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) {
+        if self.skipping() {
+            return self.go_on(customer, true);
+        }
         let (rate, burst) = (self.plan(plan, "rate"), self.plan(plan, "burst"));
         let length = Duration::from_secs_f64(burst / rate);
         let (window, start) = self.stretch(customer, length, self.now);
@@ -451,20 +443,18 @@
                 (account.store, account.seen) = ((share.left * account.spread).min(burst), share.at);
             }
             account.window = window;
-            if account.demand * account.spread < rate * CALM {
-                account.follow(account.total, start.max(account.seen), rate, burst);
-                account.total = 0.0;
-                return self.take(customer, plan, units);
-            }
+            let calm = account.demand * account.spread < rate * CALM;
             let told = move |c: &mut Control, counted| {
                 let account = c.accounts.entry(owner.clone()).or_default();
-                if let Counted::Total(total) = counted {
-                    account.follow(total, start.max(account.seen), rate, burst);
-                }
+                let total = if let Counted::Total(total) = counted { total } else { account.total };
+                account.follow(total, start.max(account.seen), rate, burst);
                 account.total = 0.0;
                 c.take(&owner, &terms, units);
             };
-            return self.add(last, 0.0, keep, Box::new(told));
+            return match calm {
+                true => told(self, Counted::NotAdded),
+                false => self.add(last, 0.0, keep, Box::new(told)),
+            };
         }
         let split = burst / account.spread;
         let wanted = if account.known { split.min(account.demand * length.as_secs_f64()) } else { split };
@@ -472,7 +462,7 @@
         let size = (wanted.max(units) - account.block).ceil();
         let told = move |c: &mut Control, counted| {
             let now = c.now;
-            let account = c.accounts.entry(owner).or_default();
+            let account = c.accounts.entry(owner.clone()).or_default();
             let (mut more, mut back) = (true, 0.0);
             if let Counted::Total(total) = counted {
                 account.follow(total - size, now, rate, burst);
@@ -489,33 +479,31 @@
                         now + Duration::from_secs_f64(short.clamp(0.01, length.as_secs_f64() * 0.5));
                 }
             }
-            let waiting = std::mem::take(&mut account.waiting);
             if back > 0.0 {
                 c.add(this, -back, keep, Box::new(|_, _| ()));
             }
-            for next in waiting {
-                next(c, more);
-            }
+            c.go_on(&owner, more);
         };
         self.add(this, size, keep, Box::new(told));
     }
 
+    /// Those that waited for a block are told whether it was given; silent, they turn to the even split.
+    fn go_on(&mut self, customer: &CustomerId, more: bool) {
+        for next in std::mem::take(&mut self.accounts.entry(customer.clone()).or_default().waiting) {
+            next(self, more);
+        }
+    }
+
     // ---- sending ----
 
     /// How much of its full work a server can do by now, by its age.
     fn warmth(&self, server: &Server) -> f64 {
         let (from, span) = (self.facts.number("rules.cold_from"), self.facts.number("rules.cold"));
-        match server.listed.started {
-            Some(start) if span > 0.0 => {
-                let age = self.now.saturating_sub(start).as_secs_f64();
-                (from + (1.0 - from) * age / span).min(1.0)
-            }
-            _ => 1.0,
-        }
+        let Some(start) = server.listed.started.filter(|_| span > 0.0) else { return 1.0 };
+        (from + (1.0 - from) * self.now.saturating_sub(start).as_secs_f64() / span).min(1.0)
     }
 
-    /// Room for one more: the gateway's own limit, and for a cold server its part of what it can safely
-    /// take.
+    /// Room for one more: the gateway's own limit, and for a cold server its part of the rule's budget.
     fn has_room(&self, server: &Server) -> bool {
         let warmth = self.warmth(server);
         if warmth < 1.0 {
@@ -532,8 +520,7 @@
     }
 
     /// In overload what is worth least for its work goes first, before it costs counter calls. Load is the
-    /// tries open against the room for them; worth for work is measured against its mean over recent API
-    /// calls.
+    /// tries open against the room for them; worth is measured against its recent mean.
     fn crowded(&mut self, call: &CallId) -> bool {
         let arrival = &self.calls[call].arrival;
         let value = self.route(&arrival.route, "billed_value") * self.plan(&arrival.plan, "price");
@@ -541,9 +528,9 @@
         let (mut open, mut room) = (0.0, 0.0);
         for server in self.servers.values().filter(|server| server.listed.phase == Phase::Ready) {
             open += f64::from(server.open);
-            room += (server.room * self.warmth(server)).max(1.0);
+            room += server.room * self.warmth(server);
         }
-        let bar = (open / f64::max(room, 1.0) - SHED_FROM) / (1.0 - SHED_FROM) * self.worth;
+        let bar = (open / f64::max(room, 0.1) - SHED_FROM) / (1.0 - SHED_FROM) * self.worth;
         self.worth += (value - self.worth) * 0.02;
         value < bar
     }
@@ -620,8 +607,7 @@
     }
 
     /// A hard ceiling, kept by this gateway alone: its purse fills at the ceiling's rate, empty at a start
-    /// since an earlier life may have spent it; in silence a send counts for all gateways that may do the
-    /// same.
+    /// since an earlier life may have spent it; in silence a send counts for all gateways.
     fn under_ceiling(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) -> bool {
         let (rate, depth) = (self.plan(plan, "ceiling_rate"), self.plan(plan, "ceiling_burst"));
         let (now, started, silent) = (self.now, self.started, self.skipping());
@@ -676,13 +662,12 @@
             Outcome::Cancelled | Outcome::NotSent => (),
         }
         if cut < 1.0 && now >= server.cut {
-            server.room = (server.room * cut).max(1.0);
+            server.room = (server.room * cut).max(grow);
             server.cut = now + ms(100);
         }
     }
 
-    /// A guess is settled, and a call not sent gets its units back, against the block, or against the share
-    /// where that is in use.
+    /// A guess is settled, and a call not sent gets its units back, against block or share.
     fn settle(&mut self, customer: &CustomerId, off: f64) {
         let account = self.accounts.entry(customer.clone()).or_default();
         match &mut account.share {
