--- a/src/control.rs
+++ b/src/control.rs
@@ -268,7 +268,7 @@
 
     // ---- the counter ----
 
-    /// A customer's number of a stretch of time (2 and up), and when that began. Each customer's edges fall at a time
+    /// A customer's number of a stretch of time, 2 and up, and when that began. Its edges fall at a time
     /// of its own, so that not all gateways renew all customers at one instant.
     fn stretch(&self, customer: &CustomerId, length: Duration, at: Duration) -> (u64, Duration) {
         let length = length.as_nanos() as u64;
@@ -421,7 +421,7 @@
     }
 
     /// One add to the window's name takes a block; what the store cannot give goes back. The store is
-    /// followed from the totals: they tell what all gateways took since the last look. A new window reads the last.
+    /// followed from the totals: they tell what all gateways took since. A new window reads the last.
     fn take(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) {
         if self.skipping() {
             return self.go_on(customer, true);
--- a/src/port.rs
+++ b/src/port.rs
@@ -33,7 +33,7 @@
 pub struct WakeToken(pub u64);
 
 /// Settings: names to values. Nested names are joined by dots; a list's element goes by its own name where it
-/// has one and by its place otherwise (`plans.basic.rate`, `zones.0`). Spans are in seconds. What is not there
+/// has one and by its place otherwise (`plans.basic.rate`, `zones.0`). Spans are in seconds. What is missing
 /// reads as nothing: 0, "", false.
 #[derive(Clone, Default, Debug)]
 pub struct Facts(pub BTreeMap<String, Fact>);
