--- a/src/control.rs
+++ b/src/control.rs
@@ -408,7 +408,9 @@
             };
             let share = account.share.get_or_insert(Purse { left, at: now });
             let enough = share.pay(now, rate / account.spread, full.max(units), units);
-            return next(self, enough);
+            // A split over many gateways is less than a unit: a customer that was calm before this call passes.
+            let before = (account.demand - units * rate / burst) * account.spread;
+            return next(self, enough || (!hard && before < rate * CALM));
         }
         let again = call.clone();
         account.waiting.push(Box::new(move |c, more| match more {
