--- a/src/control.rs
+++ b/src/control.rs
@@ -14,8 +14,9 @@
 /// Hold lifetime, the period of a holds' name, and how long before its edge the holds are renewed.
 const PERIOD: Duration = ms(3000);
 const RENEW_AHEAD: Duration = ms(100);
-/// How long the counter is left alone after it erred or lagged.
+/// How long the counter is left alone after it fell silent, and after it turned a call away.
 const SKIP: Duration = ms(15_000);
+const CROWDED_SKIP: Duration = ms(3000);
 /// Advice: this much per call ahead, at most so much.
 const ADVICE: Duration = ms(5000);
 const LONGEST_ADVICE: Duration = ms(30_000);
@@ -206,10 +207,11 @@
 
     pub fn counted(&mut self, name: CounterName, counted: Counted) {
         if !matches!(counted, Counted::Total(_)) {
-            if !self.skipping() {
-                self.port.log(&format!("counter skipped for {SKIP:?}: {counted:?}"));
+            let skip = if counted == Counted::NotAdded { CROWDED_SKIP } else { SKIP };
+            if self.now >= self.skip_until {
+                self.port.log(&format!("counter skipped for {skip:?}: {counted:?}"));
             }
-            self.skip_until = self.skip_until.max(self.now + SKIP);
+            self.skip_until = self.skip_until.max(self.now + skip);
         }
         let Some(line) = self.counts.get_mut(&name) else { return };
         let Some(next) = line.pop_front() else { return };
@@ -225,7 +227,6 @@
         }
     }
 
-    /// The client has left.
     pub fn gone(&mut self, call: &CallId) {
         if let Some(left) = self.calls.remove(call) {
             self.cancel(call, &left);
@@ -389,8 +390,7 @@
         let (customer, plan, units) = (arrival.customer.clone(), arrival.plan.clone(), arrival.units);
         let (rate, burst) = (self.plan(&plan, "rate"), self.plan(&plan, "burst"));
         let (now, silent) = (self.now, self.skipping());
-        // The share starts from the followed store. Under a hard ceiling one never followed starts empty: an
-        // earlier life of this gateway may have spent it.
+        // The share starts from the followed store; one never followed starts empty under a hard ceiling.
         let hard = self.plan(&plan, "ceiling_rate") > 0.0;
         let account = self.accounts.entry(customer.clone()).or_default();
         if rate <= 0.0 || account.block >= units {
@@ -408,7 +408,7 @@
             };
             let share = account.share.get_or_insert(Purse { left, at: now });
             let enough = share.pay(now, rate / account.spread, full.max(units), units);
-            // A split over many gateways is less than a unit: a customer that was calm before this call passes.
+            // A split over many gateways may be under a unit: who was calm before this call passes.
             let before = (account.demand - units * rate / burst) * account.spread;
             return next(self, enough || (!hard && before < rate * CALM));
         }
