--- a/src/control.rs
+++ b/src/control.rs
@@ -20,8 +20,7 @@
 /// Advice: this much per call ahead, at most so much.
 const ADVICE: Duration = ms(5000);
 const LONGEST_ADVICE: Duration = ms(30_000);
-/// The one periodic timer.
-const TICK: Duration = ms(50);
+const TICK: Duration = ms(50); // the one periodic timer
 /// A customer asking for less than this share of its rate is taken to have left its store alone.
 const CALM: f64 = 0.5;
 /// After a full count a customer's calls are refused for this long without asking the counter.
