--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,4 +1,4 @@
-//! Plays every scenario in `tests/scenarios`. A scenario is a text file of steps, one a line:
+//! Plays every scenario in `tests/scenarios`. A scenario is a text file of steps, one a line or parted by ';':
 //!
 //! ```text
 //! use common                      settings from common.set, one "name value" a line
@@ -249,8 +249,11 @@
         let text = std::fs::read_to_string(&path).expect("a scenario");
         let lines: Vec<_> = text.lines().map(|line| line.split('#').next().unwrap_or("").trim()).collect();
         for (place, line) in lines.iter().enumerate().filter(|(_, line)| !line.is_empty()) {
-            let words: Vec<&str> = line.split_whitespace().collect();
-            let play = std::panic::AssertUnwindSafe(|| stage.step(&words));
+            let play = std::panic::AssertUnwindSafe(|| {
+                for step in line.split(';') {
+                    stage.step(&step.split_whitespace().collect::<Vec<&str>>());
+                }
+            });
             if std::panic::catch_unwind(play).is_err() {
                 failed.push(format!("{}:{}: {line}", path.display(), place + 1));
                 break;
