--- a/src/control.rs
+++ b/src/control.rs
@@ -23,8 +23,6 @@
 const TICK: Duration = ms(50); // the one periodic timer
 /// A customer asking for less than this share of its rate is taken to have left its store alone.
 const CALM: f64 = 0.5;
-/// After a full count a customer's calls are refused for this long without asking the counter.
-const FULL_FOR: Duration = ms(60);
 /// From this share of the room in use on, API calls of little worth for their work are refused.
 const SHED_FROM: f64 = 0.6;
 /// A customer not heard of for this long is forgotten.
@@ -182,16 +180,11 @@
         self.hold(&call, Box::new(move |c, hold| c.held(asked, customer, hold)));
     }
 
-    /// The first try's hold was taken or refused: only now units are charged. A customer whose count is full
-    /// is refused for a moment without asking, so that its adds and withdrawals do not keep the count full.
+    /// The first try's hold was taken or refused: only now units are charged.
     fn held(&mut self, call: CallId, customer: CustomerId, hold: Result<u64, f64>) {
         let hold = match hold {
             Ok(hold) => hold,
-            Err(ahead) => {
-                let account = self.accounts.entry(customer).or_default();
-                account.refused_until = account.refused_until.max(self.now + FULL_FOR);
-                return self.answer(&call, ahead);
-            }
+            Err(ahead) => return self.answer(&call, ahead),
         };
         let paid = call.clone();
         let charged = move |c: &mut Control, enough| match enough {
