--- a/src/control.rs
+++ b/src/control.rs
@@ -110,6 +110,10 @@
         self.facts.text(&format!("routes.{}.{what}", route.0))
     }
 
+    fn gateways(&self) -> f64 {
+        self.facts.number("gateways").max(1.0)
+    }
+
     /// The cap on upstream tries out at once; a plan that states none is counted under a generous one: all
     /// that its burst and two seconds of its rate could put out.
     fn cap(&self, plan: &PlanName) -> f64 {
@@ -141,7 +145,7 @@
                     pace: 1.0,
                     distrust: 0.0,
                     faded: now,
-                    room: ROOM / self.facts.number("gateways").max(1.0),
+                    room: ROOM / self.gateways(),
                     cut: now,
                     sent: VecDeque::new(),
                 },
@@ -158,8 +162,7 @@
     pub fn arrived(&mut self, arrival: Arrival) {
         let now = self.now;
         let (rate, burst) = (self.plan(&arrival.plan, "rate"), self.plan(&arrival.plan, "burst"));
-        let all = self.facts.number("gateways").max(1.0);
-        let rank = (self.facts.number("index") - f64::from(arrival.first)).rem_euclid(all);
+        let rank = (self.facts.number("index") - f64::from(arrival.first)).rem_euclid(self.gateways());
         let account = self.accounts.entry(arrival.customer.clone()).or_default();
         (account.spread, account.rank) = (f64::from(arrival.spread.max(1)), rank);
         let window = if rate > 0.0 { burst / rate } else { 1.0 };
@@ -424,7 +427,7 @@
         let length = Duration::from_secs_f64(burst / rate);
         let (window, start) = self.stretch(customer, length, self.now);
         let name = |window| CounterName(fixed_hash(&customer.0, 2, window));
-        let (this, last, keep) = (name(window), name(window.wrapping_sub(1)), length * 3);
+        let (this, last, keep) = (name(window), name(window - 1), length * 3);
         let (owner, terms) = (customer.clone(), plan.clone());
         let account = self.accounts.entry(customer.clone()).or_default();
         let silence = account.share.take();
@@ -531,8 +534,7 @@
 
     fn cost(&self, server: &ServerId) -> f64 {
         let server = &self.servers[server];
-        let faded = self.now.saturating_sub(server.faded).as_secs_f64();
-        let distrust = server.distrust * 0.5f64.powf(faded / DISTRUST_HALF);
+        let distrust = server.distrust_at(self.now, DISTRUST_HALF);
         let able = server.listed.weight.max(0.1) * self.warmth(server);
         (f64::from(server.open) + 1.0) * server.pace * (1.0 + distrust) / able
     }
@@ -624,14 +626,13 @@
     fn judge(&mut self, server: &ServerId, route: &RouteName, end: &Ended) {
         let (took, now) = (end.latency.as_secs_f64(), self.now);
         let quick = took < self.route(route, "latency_target") * QUICK;
-        let grow = 1.0 / self.facts.number("gateways").max(1.0);
+        let grow = 1.0 / self.gateways();
         let warm = self.servers.get(server).is_some_and(|server| self.warmth(server) >= 1.0);
         let usual = self.usual.entry(route.clone()).or_insert(took.max(0.001));
         let Some(server) = self.servers.get_mut(server) else { return };
         let busy = f64::from(server.open) > server.room * 0.6;
         server.open = server.open.saturating_sub(1);
-        server.distrust *= 0.5f64.powf(now.saturating_sub(server.faded).as_secs_f64() / DISTRUST_HALF);
-        server.faded = now;
+        (server.distrust, server.faded) = (server.distrust_at(now, DISTRUST_HALF), now);
         let mut cut = 1.0;
         match end.outcome {
             Outcome::Proxied => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,8 +40,14 @@
     pub sent: VecDeque<Duration>,
 }
 
+impl Server {
+    /// Distrust as it has faded since it was last moved; `half` in seconds.
+    pub fn distrust_at(&self, now: Duration, half: f64) -> f64 {
+        self.distrust * 0.5f64.powf(now.saturating_sub(self.faded).as_secs_f64() / half)
+    }
+}
+
 /// Units that refill with time.
-#[derive(Clone, Copy, Default)]
 pub struct Purse {
     pub left: f64,
     pub at: Duration,
@@ -73,8 +79,9 @@
     pub window: u64,
     pub total: f64,
     pub seen: Duration,
-    /// Recent demand in units a second, once a first block was taken.
+    /// A first block was asked for, so the store has been followed.
     pub known: bool,
+    /// Recent demand in units a second, and when it was last moved.
     pub demand: f64,
     pub asked: Duration,
     pub waiting: Vec<Next<bool>>,
