--- a/src/control.rs
+++ b/src/control.rs
@@ -17,6 +17,12 @@
 /// How long the counter is left alone after it fell silent, and after it turned a call away.
 const SKIP: Duration = ms(15_000);
 const CROWDED_SKIP: Duration = ms(3000);
+/// Answers of the counter within this share of its time limit are prompt; how fast prompt answers speed the
+/// calls up; the least calls a second; how many errors in a row are an outage.
+const PROMPT: f64 = 0.25;
+const SPEED_UP: f64 = 0.03;
+const LEAST_PACE: f64 = 0.5;
+const ERRORS: u32 = 3;
 /// Advice: this much per call ahead, at most so much.
 const ADVICE: Duration = ms(5000);
 const LONGEST_ADVICE: Duration = ms(30_000);
@@ -47,17 +53,28 @@
     calls: BTreeMap<CallId, Call>,
     accounts: BTreeMap<CustomerId, Account>,
     /// What waits: for answers of the counter, for ends of upstream tries, for a time.
-    counts: BTreeMap<CounterName, VecDeque<Next<Counted>>>,
+    counts: BTreeMap<CounterName, VecDeque<(Duration, Next<Counted>)>>,
     tries: BTreeMap<(CallId, TryNumber), Next<Ended>>,
     due: BTreeMap<(Duration, u64), Next<()>>,
     next_id: u64,
     next_tick: Duration,
     next_due: Duration,
     skip_until: Duration,
+    /// What the counter bears: calls a second allowed to this gateway, how many are in hand, when that was
+    /// last moved and cut, calls a second made, errors in a row.
+    pace: f64,
+    in_hand: f64,
+    paced: Duration,
+    slowed: Duration,
+    calling: f64,
+    errors: u32,
+    /// Units of each plan counted on the counter, and sent without.
+    told: BTreeMap<PlanName, (f64, f64)>,
     /// Usual latency of each route, in seconds.
     usual: BTreeMap<RouteName, f64>,
     /// Mean worth for work of recent API calls.
     worth: f64,
+    value: f64,
     try_budget: f64,
     /// Answers a second from warm servers, fading over ten seconds, and when it was last faded.
     done: (f64, Duration),
@@ -81,8 +98,16 @@
             next_tick: now + TICK,
             next_due: Duration::MAX,
             skip_until: Duration::ZERO,
+            pace: f64::INFINITY,
+            in_hand: f64::INFINITY,
+            paced: now,
+            slowed: now,
+            calling: 0.0,
+            errors: 0,
+            told: BTreeMap::new(),
             usual: BTreeMap::new(),
             worth: 0.0,
+            value: 0.0,
             try_budget: 3.0,
             done: (0.0, now),
         };
@@ -170,6 +195,8 @@
         account.demand = account.demand * (-idle / window).exp() + arrival.units / window;
         account.asked = now;
         let spent = account.refused_until > now;
+        let value = self.value(&arrival);
+        self.value += (value - self.value) * 0.05;
         self.try_budget = (self.try_budget + TRY_SHARE).min(10.0);
         let (call, timed) = (arrival.call.clone(), arrival.call.clone());
         let last = arrival.until.saturating_sub(self.facts.span("resolution") * 2).max(now);
@@ -201,18 +228,12 @@
     }
 
     pub fn counted(&mut self, name: CounterName, counted: Counted) {
-        if !matches!(counted, Counted::Total(_)) {
-            let skip = if counted == Counted::NotAdded { CROWDED_SKIP } else { SKIP };
-            if self.now >= self.skip_until {
-                self.port.log(&format!("counter skipped for {skip:?}: {counted:?}"));
-            }
-            self.skip_until = self.skip_until.max(self.now + skip);
-        }
         let Some(line) = self.counts.get_mut(&name) else { return };
-        let Some(next) = line.pop_front() else { return };
+        let Some((asked, next)) = line.pop_front() else { return };
         if line.is_empty() {
             self.counts.remove(&name);
         }
+        self.feel(self.now.saturating_sub(asked), counted);
         next(self, counted);
     }
 
@@ -277,8 +298,63 @@
         self.now < self.skip_until
     }
 
+    /// Step 6, and what comes before it. A late answer or an error slows this gateway's calls to below what
+    /// it made of late, good answers speed them up again; so many gateways share what the counter bears,
+    /// without being told. Errors in a row are an outage: the counter is skipped. Harm: a counter slow for
+    /// one gateway only is used less than it could be.
+    fn feel(&mut self, took: Duration, counted: Counted) {
+        let limit = self.facts.span("counter.counter_timeout");
+        let good = matches!(counted, Counted::Total(_));
+        self.errors = if good { 0 } else { self.errors + 1 };
+        if good && took < limit.mul_f64(PROMPT) {
+            self.pace *= 1.0 + SPEED_UP;
+        } else if self.now >= self.slowed {
+            self.refill();
+            self.pace = (self.pace.min(self.calling) * if good { 0.9 } else { 0.6 }).max(LEAST_PACE);
+            self.slowed = self.now + limit;
+        }
+        if self.errors >= ERRORS {
+            let skip = if counted == Counted::NotAdded { CROWDED_SKIP } else { SKIP };
+            if self.now >= self.skip_until {
+                self.port.log(&format!("counter skipped for {skip:?}: {counted:?}"));
+            }
+            self.skip_until = self.skip_until.max(self.now + skip);
+        }
+    }
+
+    /// Fades the measure of calls made and fills the calls in hand; returns the most there can be.
+    fn refill(&mut self) -> f64 {
+        let span = self.now.saturating_sub(self.paced).as_secs_f64();
+        let most = f64::max(self.pace * 0.5, 4.0);
+        self.calling *= (-span).exp();
+        self.in_hand = (self.in_hand + span * self.pace).min(most);
+        self.paced = self.now;
+        most
+    }
+
+    /// Whether a call for an API call of this value may be made: the dearer it is, the fewer need to be in hand.
+    fn afford(&mut self, value: f64) -> bool {
+        let most = self.refill();
+        let need = 1.0 + (most - 1.0) * (1.0 - value / self.value.max(1e-9)).clamp(0.0, 1.0);
+        !self.skipping() && (self.pace.is_infinite() || self.in_hand >= need)
+    }
+
+    /// Whether calls that could be done without may be made.
+    fn plenty(&mut self) -> bool {
+        let most = self.refill();
+        !self.skipping() && (self.pace.is_infinite() || self.in_hand >= most * 0.75)
+    }
+
+    fn value(&self, arrival: &Arrival) -> f64 {
+        let price = self.plan(&arrival.plan, "price");
+        self.route(&arrival.route, "billed_value") * price * arrival.units
+    }
+
     fn add(&mut self, name: CounterName, add: f64, keep: Duration, next: Next<Counted>) {
-        self.counts.entry(name).or_default().push_back(next);
+        self.refill();
+        self.in_hand -= 1.0;
+        self.calling += 1.0;
+        self.counts.entry(name).or_default().push_back((self.now, next));
         self.port.count(name, add, keep);
     }
 
@@ -296,16 +372,26 @@
         let arrival = &self.calls[call].arrival;
         let (customer, cap) = (arrival.customer.clone(), self.cap(&arrival.plan));
         // How long a unit of demand is out: the route's usual latency.
+        let (value, rated, stated) =
+            (self.value(arrival), self.plan(&arrival.plan, "rate") > 0.0, self.plan(&arrival.plan, "cap") > 0.0);
+        let plan = arrival.plan.clone();
+        let units = arrival.units;
+        let window = if rated { self.plan(&plan, "burst") / self.plan(&plan, "rate") } else { 1.0 };
         let each = self.usual.get(&arrival.route).copied().unwrap_or(0.0) / arrival.units.max(1.0);
         let (owner, period) = (customer.clone(), self.stretch(&customer, PERIOD, self.now).0);
         self.next_id += 1;
         let id = self.next_id;
+        let plenty = self.plenty();
+        // Crowded, the units' name alone is asked where there is one, the holds' where not.
+        let unasked = rated && !plenty && !self.skipping() && (self.afford(value) || !stated);
+        let silent = unasked || !(plenty || self.afford(value));
         let told = move |c: &mut Control, counted| {
             let now = c.stretch(&owner, PERIOD, c.now).0;
             let account = c.accounts.entry(owner.clone()).or_default();
             let (spread, turn) = (account.spread, (account.rank + now as f64) % account.spread);
             let share = (cap / spread).floor() + if turn < cap % spread { 1.0 } else { 0.0 };
-            let share = share.max(if account.demand * spread * each < cap * CALM { 1.0 } else { 0.0 });
+            let before = (account.demand - units / window) * spread;
+            let share = share.max(if before * each < cap * CALM { 1.0 } else { 0.0 });
             match counted {
                 Counted::Total(total) if total > cap => {
                     c.add_hold(&owner, period, -1.0, Box::new(|_, _| ()));
@@ -318,12 +404,13 @@
                         c.count_in(&owner, renewed, vec![id]);
                     }
                 }
+                _ if unasked => drop(account.holds.insert(id, Vec::new())),
                 _ if account.holds.len() as f64 >= share => return next(c, Err(1.0)),
                 _ => drop(account.holds.insert(id, Vec::new())),
             }
             next(c, Ok(id));
         };
-        if self.skipping() {
+        if silent {
             return told(self, Counted::NotAdded);
         }
         self.add_hold(&customer, period, 1.0, Box::new(told));
@@ -353,7 +440,7 @@
     fn renew(&mut self) {
         let holders = self.accounts.iter().filter(|(_, account)| !account.holds.is_empty());
         let holders: Vec<CustomerId> = holders.map(|(customer, _)| customer.clone()).collect();
-        for customer in if self.skipping() { Vec::new() } else { holders } {
+        for customer in if self.plenty() { holders } else { Vec::new() } {
             let next = self.stretch(&customer, PERIOD, self.now + RENEW_AHEAD).0;
             let account = self.accounts.get_mut(&customer).expect("listed above");
             let missing = account.holds.iter().filter(|(_, periods)| !periods.contains(&next));
@@ -384,7 +471,8 @@
         let Some(Call { arrival, .. }) = self.calls.get(call) else { return next(self, false) };
         let (customer, plan, units) = (arrival.customer.clone(), arrival.plan.clone(), arrival.units);
         let (rate, burst) = (self.plan(&plan, "rate"), self.plan(&plan, "burst"));
-        let (now, silent) = (self.now, self.skipping());
+        let value = self.value(arrival);
+        let (now, silent) = (self.now, !self.afford(value));
         // The share starts from the followed store; one never followed starts empty under a hard ceiling.
         let hard = self.plan(&plan, "ceiling_rate") > 0.0;
         let account = self.accounts.entry(customer.clone()).or_default();
@@ -405,7 +493,9 @@
             let enough = share.pay(now, rate / account.spread, full.max(units), units);
             // A split over many gateways may be under a unit: who was calm before this call passes.
             let before = (account.demand - units * rate / burst) * account.spread;
-            return next(self, enough || (!hard && before < rate * CALM));
+            let enough = enough || (!hard && before < rate * CALM);
+            self.told.entry(plan).or_default().1 += if enough { units } else { 0.0 };
+            return next(self, enough);
         }
         let again = call.clone();
         account.waiting.push(Box::new(move |c, more| match more {
@@ -423,6 +513,7 @@
         if self.skipping() {
             return self.go_on(customer, true);
         }
+        let plenty = self.plenty();
         let (rate, burst) = (self.plan(plan, "rate"), self.plan(plan, "burst"));
         let length = Duration::from_secs_f64(burst / rate);
         let (window, start) = self.stretch(customer, length, self.now);
@@ -433,9 +524,10 @@
         let silence = account.share.take();
         if account.window != window {
             if account.window + 1 != window {
-                (account.store, account.total, account.seen) = (burst, 0.0, start.saturating_sub(length));
+                let seen = if plenty { start.saturating_sub(length) } else { self.now };
+                (account.store, account.total, account.seen) = (burst, 0.0, seen);
             }
-            if let Some(share) = silence {
+            if let Some(share) = silence.filter(|_| plenty) {
                 // What was left of the share in silence tells what the store may hold, if all fared alike.
                 (account.store, account.seen) = ((share.left * account.spread).min(burst), share.at);
             }
@@ -448,7 +540,7 @@
                 account.total = 0.0;
                 c.take(&owner, &terms, units);
             };
-            return match calm {
+            return match calm || !plenty {
                 true => told(self, Counted::NotAdded),
                 false => self.add(last, 0.0, keep, Box::new(told)),
             };
@@ -457,8 +549,12 @@
         let wanted = if account.known { split.min(account.demand * length.as_secs_f64()) } else { split };
         account.known = true;
         let size = (wanted.max(units) - account.block).ceil();
+        let entry = self.told.entry(plan.clone()).or_default();
+        let extra = (size * entry.1 / entry.0.max(1.0)).min(size * 10.0).round();
+        *entry = (entry.0 * 0.95 + size, entry.1 * 0.95);
+        let extra = if plenty { 0.0 } else { extra };
         let told = move |c: &mut Control, counted| {
-            let now = c.now;
+            let (now, plenty) = (c.now, c.plenty());
             let account = c.accounts.entry(owner.clone()).or_default();
             let (mut more, mut back) = (true, 0.0);
             if let Counted::Total(total) = counted {
@@ -466,7 +562,7 @@
                 let fits = account.store.floor().clamp(0.0, size);
                 more = account.block + fits >= units;
                 let fits = if more { fits } else { 0.0 };
-                back = size - fits;
+                back = if plenty { size - fits } else { 0.0 };
                 account.block += fits;
                 account.store -= fits;
                 account.total = total - back;
@@ -481,7 +577,7 @@
             }
             c.go_on(&owner, more);
         };
-        self.add(this, size, keep, Box::new(told));
+        self.add(this, size + extra, keep, Box::new(told));
     }
 
     /// Those that waited for a block are told whether it was given; silent, they turn to the even split.
