Calls on the counter are paced where the even split is less than a call; one room for all servers of a gateway

Cause: with up to 300 gateways the counter cannot bear the calls, every gateway lived in the 15 s skip, and a split of a burst over them is less than a unit, so silence refused half of the tries with room. Now errors slow a gateway's calls and prompt answers speed them up; the dearest blocks are asked first, adds stand for what went uncounted, generous caps go uncounted meanwhile, blocks are half a window's demand. Where the split still holds calls the skip stays as it was. The room is learnt over all servers of a gateway, as one server is seen too seldom; this also replaces the room of each server.

--- a/src/control.rs
+++ b/src/control.rs
@@ -11,37 +11,30 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// Hold lifetime, the period of a holds' name, and how long before its edge the holds are renewed.
-const PERIOD: Duration = ms(3000);
-const RENEW_AHEAD: Duration = ms(100);
-/// How long the counter is left alone after it fell silent, and after it turned a call away.
-const SKIP: Duration = ms(15_000);
-const CROWDED_SKIP: Duration = ms(3000);
-/// Answers of the counter within this share of its time limit are prompt; how fast prompt answers speed the
-/// calls up; the least calls a second; how many errors in a row are an outage.
-const PROMPT: f64 = 0.25;
-const SPEED_UP: f64 = 0.03;
-const LEAST_PACE: f64 = 0.5;
-const ERRORS: u32 = 3;
-/// Advice: this much per call ahead, at most so much.
-const ADVICE: Duration = ms(5000);
+const PERIOD: Duration = ms(3000); // hold lifetime: the period of a holds' name
+const RENEW_AHEAD: Duration = ms(100); // so long before the period's edge the holds are renewed
+const SKIP: Duration = ms(15_000); // the counter is left alone: it fell silent
+const CROWDED_SKIP: Duration = ms(3000); // the same: it turned a call away
+const THIN: f64 = 0.5; // from this share of customers with less than a call of even split on, calls are paced
+const START_PACE: f64 = 900.0; // calls a second to start with, over all gateways
+const LEAST_PACE: f64 = 0.5; // and the least, of one gateway
+const SPEED_UP: f64 = 0.2; // what a prompt answer adds to them
+const PROMPT: f64 = 0.7; // an answer within this share of the counter's time limit is prompt
+const ERRORS: u32 = 3; // so many in a row, each after a slowing, are an outage
+const SPARE: f64 = 0.7; // with this share of the calls in hand, what can be done without is done
+const AHEAD: f64 = 0.5; // of a window: a block's recent demand while calls are scarce
+const ADVICE: Duration = ms(5000); // per call ahead
 const LONGEST_ADVICE: Duration = ms(30_000);
 const TICK: Duration = ms(50); // the one periodic timer
-/// A customer asking for less than this share of its rate is taken to have left its store alone.
-const CALM: f64 = 0.5;
-/// From this share of the room in use on, API calls of little worth for their work are refused.
-const SHED_FROM: f64 = 0.6;
-/// A customer not heard of for this long is forgotten.
-const FORGET: Duration = ms(60_000);
-/// Distrust halves in this many seconds.
-const DISTRUST_HALF: f64 = 4.0;
-/// Tries open at a server to start with, over all gateways; the share of the latency target for answers.
-const ROOM: f64 = 16.0;
-const QUICK: f64 = 0.25;
-/// The part of a cold server's budget that is used.
-const COLD_SHARE: f64 = 0.4;
-/// A further try is paid from this share of the API calls taken.
-const TRY_SHARE: f64 = 0.2;
+const CALM: f64 = 0.5; // who asks for less than this share of its rate has left its store alone
+const SHED_FROM: f64 = 0.6; // share of the room in use from which little worth for the work is refused
+const FORGET: Duration = ms(60_000); // a customer not heard of for so long
+const DISTRUST_HALF: f64 = 4.0; // seconds
+const ROOM: f64 = 16.0; // tries open at a server to start with, over all gateways
+const QUICK: f64 = 0.25; // share of the latency target within which an answer is quick
+const ROUND: f64 = 5.0; // so many answers are a round, in a smaller room all of it
+const COLD_SHARE: f64 = 0.4; // part of a cold server's budget that is used
+const TRY_SHARE: f64 = 0.2; // further tries paid by an API call taken
 
 pub struct Control {
     facts: Facts,
@@ -57,32 +50,18 @@
     tries: BTreeMap<(CallId, TryNumber), Next<Ended>>,
     due: BTreeMap<(Duration, u64), Next<()>>,
     next_id: u64,
-    next_tick: Duration,
-    next_due: Duration,
     skip_until: Duration,
-    /// What the counter bears: calls a second allowed to this gateway, how many are in hand, when that was
-    /// last moved and cut, calls a second made, errors in a row.
-    pace: f64,
-    in_hand: f64,
-    paced: Duration,
-    slowed: Duration,
-    calling: f64,
-    errors: u32,
-    /// Units of each plan counted on the counter, and sent without.
-    told: BTreeMap<PlanName, (f64, f64)>,
+    /// What the counter is seen to bear, and what the servers are.
+    bears: Bears,
+    fleet: Fleet,
     /// Usual latency of each route, in seconds.
     usual: BTreeMap<RouteName, f64>,
-    /// Mean worth for work of recent API calls.
-    worth: f64,
-    value: f64,
-    try_budget: f64,
-    /// Answers a second from warm servers, fading over ten seconds, and when it was last faded.
-    done: (f64, Duration),
 }
 
 impl Control {
     pub fn new(facts: Facts, seed: u64, now: Duration, port: Box<dyn Port>) -> Self {
         let mut control = Control {
+            skip_until: if facts.flag("counter.present") { Duration::ZERO } else { Duration::MAX },
             facts,
             port,
             rng: WyRand::new_seed(seed),
@@ -95,46 +74,18 @@
             tries: BTreeMap::new(),
             due: BTreeMap::new(),
             next_id: 0,
-            next_tick: now + TICK,
-            next_due: Duration::MAX,
-            skip_until: Duration::ZERO,
-            pace: f64::INFINITY,
-            in_hand: f64::INFINITY,
-            paced: now,
-            slowed: now,
-            calling: 0.0,
-            errors: 0,
-            told: BTreeMap::new(),
+            bears: Bears { quick_to: f64::INFINITY, thin: THIN, filled: now, ..Bears::default() },
+            fleet: Fleet { further: 3.0, ..Fleet::default() },
             usual: BTreeMap::new(),
-            worth: 0.0,
-            value: 0.0,
-            try_budget: 3.0,
-            done: (0.0, now),
         };
-        control.port.wake(TICK_TOKEN, control.next_tick);
+        control.bears.pace = START_PACE / control.gateways();
+        control.port.wake(TICK_TOKEN, now + TICK);
         if control.facts.text("registry_mode") == "subscribe" {
             control.port.subscribe(true);
         }
-        if !control.facts.flag("counter.present") {
-            control.skip_until = Duration::MAX;
-        }
         control
     }
 
-    // ---- settings, picked where they are needed ----
-
-    fn plan(&self, plan: &PlanName, what: &str) -> f64 {
-        self.facts.number(&format!("plans.{}.{what}", plan.0))
-    }
-
-    fn route(&self, route: &RouteName, what: &str) -> f64 {
-        self.facts.number(&format!("routes.{}.{what}", route.0))
-    }
-
-    fn said(&self, route: &RouteName, what: &str) -> &str {
-        self.facts.text(&format!("routes.{}.{what}", route.0))
-    }
-
     fn gateways(&self) -> f64 {
         self.facts.number("gateways").max(1.0)
     }
@@ -143,7 +94,7 @@
     /// that its burst and two seconds of its rate could put out.
     fn cap(&self, plan: &PlanName) -> f64 {
         let (stated, burst, rate) =
-            (self.plan(plan, "cap"), self.plan(plan, "burst"), self.plan(plan, "rate"));
+            (self.facts.plan(plan, "cap"), self.facts.plan(plan, "burst"), self.facts.plan(plan, "rate"));
         Some(stated).filter(|cap| *cap > 0.0).unwrap_or((burst + rate * 2.0).max(4.0).ceil())
     }
 
@@ -155,7 +106,6 @@
 
     /// News of the server list: the whole of it, or changes only.
     pub fn listed(&mut self, whole: bool, lines: Vec<Listed>) {
-        let now = self.now;
         if whole {
             self.servers.retain(|id, _| lines.iter().any(|line| line.server == *id));
         }
@@ -164,16 +114,7 @@
             let server = match known {
                 _ if listed.phase == Phase::Gone => continue,
                 Some(known) if known.listed.started == listed.started => Server { listed, ..known },
-                known => Server {
-                    listed,
-                    open: known.map_or(0, |known| known.open),
-                    pace: 1.0,
-                    distrust: 0.0,
-                    faded: now,
-                    room: ROOM / self.gateways(),
-                    cut: now,
-                    sent: VecDeque::new(),
-                },
+                known => Server::fresh(listed, known.map_or(0, |known| known.open)),
             };
             self.servers.insert(id, server);
         }
@@ -186,22 +127,23 @@
 
     pub fn arrived(&mut self, arrival: Arrival) {
         let now = self.now;
-        let (rate, burst) = (self.plan(&arrival.plan, "rate"), self.plan(&arrival.plan, "burst"));
+        let (rate, burst) = (self.facts.plan(&arrival.plan, "rate"), self.facts.plan(&arrival.plan, "burst"));
         let rank = (self.facts.number("index") - f64::from(arrival.first)).rem_euclid(self.gateways());
         let account = self.accounts.entry(arrival.customer.clone()).or_default();
-        (account.spread, account.rank) = (f64::from(arrival.spread.max(1)), rank);
+        let spread = f64::from(arrival.spread.max(1));
+        (account.spread, account.rank) = (spread, rank);
         let window = if rate > 0.0 { burst / rate } else { 1.0 };
         let idle = now.saturating_sub(account.asked).as_secs_f64();
         account.demand = account.demand * (-idle / window).exp() + arrival.units / window;
         account.asked = now;
         let spent = account.refused_until > now;
-        let value = self.value(&arrival);
-        self.value += (value - self.value) * 0.05;
-        self.try_budget = (self.try_budget + TRY_SHARE).min(10.0);
+        let part = if rate > 0.0 { burst } else { self.cap(&arrival.plan) } / spread;
+        self.bears.thin += (f64::from(u8::from(part < arrival.units)) - self.bears.thin) * 0.02;
+        self.bears.value += (self.value(&arrival) - self.bears.value) * 0.05;
+        self.fleet.further = (self.fleet.further + TRY_SHARE).min(10.0);
         let (call, timed) = (arrival.call.clone(), arrival.call.clone());
         let last = arrival.until.saturating_sub(self.facts.span("resolution") * 2).max(now);
-        let fresh = Call { arrival, born: now, tries: 0, out: None, last: None, ran: None };
-        self.calls.insert(call.clone(), fresh);
+        self.calls.insert(call.clone(), Call::new(arrival, now, self.skipping()));
         self.at(last, Box::new(move |c, ()| c.answer(&timed, 1.0)));
         if spent || self.crowded(&call) {
             return self.answer(&call, 1.0);
@@ -256,31 +198,20 @@
 
     pub fn woken(&mut self, token: WakeToken) {
         let now = self.now;
-        if token == TICK_TOKEN && now >= self.next_tick {
-            self.next_tick = now + TICK;
-            self.port.wake(TICK_TOKEN, self.next_tick);
+        if token == TICK_TOKEN {
+            self.port.wake(TICK_TOKEN, now + TICK);
             self.renew();
             self.accounts.retain(|_, account| !account.holds.is_empty() || now < account.asked + FORGET);
         }
         while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= now) {
             entry.remove()(self, ());
         }
-        let next = self.due.keys().next().map_or(Duration::MAX, |(at, _)| *at);
-        if token == DUE_TOKEN || next < self.next_due {
-            self.next_due = next;
-            if next < Duration::MAX {
-                self.port.wake(DUE_TOKEN, next);
-            }
-        }
     }
 
     fn at(&mut self, when: Duration, next: Next<()>) {
         self.next_id += 1;
         self.due.insert((when, self.next_id), next);
-        if when < self.next_due {
-            self.next_due = when;
-            self.port.wake(DUE_TOKEN, when);
-        }
+        self.port.wake(DUE_TOKEN, when);
     }
 
     // ---- the counter ----
@@ -298,62 +229,66 @@
         self.now < self.skip_until
     }
 
-    /// Step 6, and what comes before it. A late answer or an error slows this gateway's calls to below what
-    /// it made of late, good answers speed them up again; so many gateways share what the counter bears,
-    /// without being told. Errors in a row are an outage: the counter is skipped. Harm: a counter slow for
-    /// one gateway only is used less than it could be.
+    /// Step 6. An error has the counter skipped. Where the even split gives most customers less than a call,
+    /// silence would refuse nearly all, so there errors and late answers slow this gateway's calls below
+    /// what it made of late and prompt ones speed them up: many gateways share what the counter bears without
+    /// a word, also one that is slow or half gone. Only errors in a row are an outage. Harm: a counter slow
+    /// for this gateway alone is used less than it could be.
     fn feel(&mut self, took: Duration, counted: Counted) {
         let limit = self.facts.span("counter.counter_timeout");
         let good = matches!(counted, Counted::Total(_));
-        self.errors = if good { 0 } else { self.errors + 1 };
+        let (now, bears) = (self.now, &mut self.bears);
+        bears.errors = if good { 0 } else { bears.errors };
         if good && took < limit.mul_f64(PROMPT) {
-            self.pace *= 1.0 + SPEED_UP;
-        } else if self.now >= self.slowed {
-            self.refill();
-            self.pace = (self.pace.min(self.calling) * if good { 0.9 } else { 0.6 }).max(LEAST_PACE);
-            self.slowed = self.now + limit;
-        }
-        if self.errors >= ERRORS {
+            bears.pace += if bears.pace < bears.quick_to { 1.0 } else { SPEED_UP.max(bears.pace * 0.01) };
+            bears.pace = bears.pace.min(bears.calling * 2.0 + 4.0);
+        } else if !good && now >= bears.slowed + limit * 4 {
+            let made = bears.pace.min(bears.calling);
+            (bears.errors, bears.in_hand) = (bears.errors + 1, bears.in_hand.min(0.0));
+            (bears.pace, bears.quick_to, bears.slowed) = ((made * 0.6).max(LEAST_PACE), made * 0.5, now);
+        }
+        if !good && (bears.errors >= ERRORS || bears.thin < THIN) {
             let skip = if counted == Counted::NotAdded { CROWDED_SKIP } else { SKIP };
-            if self.now >= self.skip_until {
+            if now >= self.skip_until {
                 self.port.log(&format!("counter skipped for {skip:?}: {counted:?}"));
             }
-            self.skip_until = self.skip_until.max(self.now + skip);
+            self.skip_until = self.skip_until.max(now + skip);
         }
     }
 
-    /// Fades the measure of calls made and fills the calls in hand; returns the most there can be.
-    fn refill(&mut self) -> f64 {
-        let span = self.now.saturating_sub(self.paced).as_secs_f64();
-        let most = f64::max(self.pace * 0.5, 4.0);
-        self.calling *= (-span).exp();
-        self.in_hand = (self.in_hand + span * self.pace).min(most);
-        self.paced = self.now;
-        most
+    /// Whether the counter may be called: at the pace it bears, one call in hand is enough for what is dear
+    /// (0 and below), all that can be in hand are wanted for what matters least (1). Where calls are scarce,
+    /// the dear API calls are so judged by the counter, the others by this gateway's share.
+    fn may_call(&mut self, cheap: f64) -> bool {
+        let most = self.fill();
+        let enough = self.bears.in_hand >= 1.0 + (most - 1.0) * cheap.clamp(0.0, 1.0);
+        !self.skipping() && (self.bears.thin < THIN || enough)
     }
 
-    /// Whether a call for an API call of this value may be made: the dearer it is, the fewer need to be in hand.
-    fn afford(&mut self, value: f64) -> bool {
-        let most = self.refill();
-        let need = 1.0 + (most - 1.0) * (1.0 - value / self.value.max(1e-9)).clamp(0.0, 1.0);
-        !self.skipping() && (self.pace.is_infinite() || self.in_hand >= need)
+    /// In hand there can be what half a second allows, and a few at least.
+    fn fill(&mut self) -> f64 {
+        let most = f64::max(self.bears.pace * 0.5, 4.0);
+        self.bears.fill(self.now, most);
+        most
     }
 
-    /// Whether calls that could be done without may be made.
+    /// Whether there are calls in hand for what can be done without.
     fn plenty(&mut self) -> bool {
-        let most = self.refill();
-        !self.skipping() && (self.pace.is_infinite() || self.in_hand >= most * 0.75)
+        self.may_call(SPARE)
+    }
+
+    fn cheap(&self, arrival: &Arrival, calls: f64) -> f64 {
+        1.0 - self.value(arrival) * calls / self.bears.value.max(1e-9)
     }
 
     fn value(&self, arrival: &Arrival) -> f64 {
-        let price = self.plan(&arrival.plan, "price");
-        self.route(&arrival.route, "billed_value") * price * arrival.units
+        let price = self.facts.plan(&arrival.plan, "price");
+        self.facts.route(&arrival.route, "billed_value") * price * arrival.units
     }
 
     fn add(&mut self, name: CounterName, add: f64, keep: Duration, next: Next<Counted>) {
-        self.refill();
-        self.in_hand -= 1.0;
-        self.calling += 1.0;
+        self.fill();
+        (self.bears.in_hand, self.bears.calling) = (self.bears.in_hand - 1.0, self.bears.calling + 1.0);
         self.counts.entry(name).or_default().push_back((self.now, next));
         self.port.count(name, add, keep);
     }
@@ -371,20 +306,18 @@
     fn hold(&mut self, call: &CallId, next: Next<Result<u64, f64>>) {
         let arrival = &self.calls[call].arrival;
         let (customer, cap) = (arrival.customer.clone(), self.cap(&arrival.plan));
+        let (rate, burst) = (self.facts.plan(&arrival.plan, "rate"), self.facts.plan(&arrival.plan, "burst"));
+        let (stated, units) = (self.facts.plan(&arrival.plan, "cap") > 0.0, arrival.units);
+        let window = if rate > 0.0 { burst / rate } else { 1.0 };
         // How long a unit of demand is out: the route's usual latency.
-        let (value, rated, stated) =
-            (self.value(arrival), self.plan(&arrival.plan, "rate") > 0.0, self.plan(&arrival.plan, "cap") > 0.0);
-        let plan = arrival.plan.clone();
-        let units = arrival.units;
-        let window = if rated { self.plan(&plan, "burst") / self.plan(&plan, "rate") } else { 1.0 };
-        let each = self.usual.get(&arrival.route).copied().unwrap_or(0.0) / arrival.units.max(1.0);
+        let each = self.usual.get(&arrival.route).copied().unwrap_or(0.0) / units.max(1.0);
+        let cheap = self.cheap(arrival, 1.0);
         let (owner, period) = (customer.clone(), self.stretch(&customer, PERIOD, self.now).0);
         self.next_id += 1;
         let id = self.next_id;
-        let plenty = self.plenty();
-        // Crowded, the units' name alone is asked where there is one, the holds' where not.
-        let unasked = rated && !plenty && !self.skipping() && (self.afford(value) || !stated);
-        let silent = unasked || !(plenty || self.afford(value));
+        // Calls being scarce, a cap that was not stated goes uncounted: the units' name tells enough.
+        let unasked = rate > 0.0 && !stated && !self.skipping() && !self.plenty();
+        let silent = unasked || !self.may_call(cheap);
         let told = move |c: &mut Control, counted| {
             let now = c.stretch(&owner, PERIOD, c.now).0;
             let account = c.accounts.entry(owner.clone()).or_default();
@@ -443,8 +376,8 @@
         for customer in if self.plenty() { holders } else { Vec::new() } {
             let next = self.stretch(&customer, PERIOD, self.now + RENEW_AHEAD).0;
             let account = self.accounts.get_mut(&customer).expect("listed above");
-            let missing = account.holds.iter().filter(|(_, periods)| !periods.contains(&next));
-            let ids: Vec<u64> = missing.map(|(id, _)| *id).collect();
+            let missing = account.holds.iter().filter(|hold| !hold.1.contains(&next));
+            let ids: Vec<u64> = missing.map(|hold| *hold.0).collect();
             if account.renewed < next && !ids.is_empty() {
                 account.renewed = next;
                 self.count_in(&customer, next, ids);
@@ -470,34 +403,34 @@
     fn charge(&mut self, call: &CallId, next: Next<bool>) {
         let Some(Call { arrival, .. }) = self.calls.get(call) else { return next(self, false) };
         let (customer, plan, units) = (arrival.customer.clone(), arrival.plan.clone(), arrival.units);
-        let (rate, burst) = (self.plan(&plan, "rate"), self.plan(&plan, "burst"));
-        let value = self.value(arrival);
-        let (now, silent) = (self.now, !self.afford(value));
-        // The share starts from the followed store; one never followed starts empty under a hard ceiling.
-        let hard = self.plan(&plan, "ceiling_rate") > 0.0;
+        let (rate, burst) = (self.facts.plan(&plan, "rate"), self.facts.plan(&plan, "burst"));
+        let recent = self.accounts.get(&customer).map_or(0.0, |account| account.demand);
+        let cheap = self.cheap(arrival, (recent * burst / rate * AHEAD / units).max(1.0));
+        let (now, scarce, silent) = (self.now, !self.plenty(), !self.may_call(cheap));
+        // Never to be passed: such a customer's share starts empty and no calm one passes beyond it.
+        let hard = self.facts.plan(&plan, "ceiling_rate") > 0.0;
         let account = self.accounts.entry(customer.clone()).or_default();
-        if rate <= 0.0 || account.block >= units {
-            account.block -= if rate > 0.0 { units } else { 0.0 };
+        if rate <= 0.0 {
             return next(self, true);
         }
-        if silent {
-            let full = burst / account.spread;
-            let store = account.store + now.saturating_sub(account.seen).as_secs_f64() * rate;
-            let known = (store / account.spread).clamp(0.0, full);
-            let left = match (account.known, hard) {
-                (true, _) => known,
-                (false, true) => 0.0,
-                (false, false) => full,
-            };
-            let share = account.share.get_or_insert(Purse { left, at: now });
-            let enough = share.pay(now, rate / account.spread, full.max(units), units);
+        let full = burst / account.spread;
+        let share = account.share.get_or_insert(Purse { left: if hard { 0.0 } else { full }, at: now });
+        let enough = share.pay(now, rate / account.spread, full.max(units), units);
+        if account.block >= units {
+            share.left = if enough { share.left } else { 0.0 };
+            account.block -= units;
+            return next(self, true);
+        }
+        if silent || (enough && scarce) {
             // A split over many gateways may be under a unit: who was calm before this call passes.
             let before = (account.demand - units * rate / burst) * account.spread;
             let enough = enough || (!hard && before < rate * CALM);
-            self.told.entry(plan).or_default().1 += if enough { units } else { 0.0 };
+            self.calls.get_mut(call).expect("looked up above").unsure = true;
+            self.bears.unsaid += if enough { units } else { 0.0 };
             return next(self, enough);
         }
         let again = call.clone();
+        share.left += if enough { units } else { 0.0 };
         account.waiting.push(Box::new(move |c, more| match more {
             true => c.charge(&again, next),
             false => next(c, false),
@@ -508,57 +441,44 @@
     }
 
     /// One add to the window's name takes a block; what the store cannot give goes back. The store is
-    /// followed from the totals: they tell what all gateways took since. A new window reads the last.
+    /// followed from the totals: they tell what all gateways took since.
     fn take(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) {
         if self.skipping() {
             return self.go_on(customer, true);
         }
         let plenty = self.plenty();
-        let (rate, burst) = (self.plan(plan, "rate"), self.plan(plan, "burst"));
+        let (rate, burst) = (self.facts.plan(plan, "rate"), self.facts.plan(plan, "burst"));
         let length = Duration::from_secs_f64(burst / rate);
         let (window, start) = self.stretch(customer, length, self.now);
-        let name = |window| CounterName(fixed_hash(&customer.0, 2, window));
-        let (this, last, keep) = (name(window), name(window - 1), length * 3);
-        let (owner, terms) = (customer.clone(), plan.clone());
+        let (this, keep) = (CounterName(fixed_hash(&customer.0, 2, window)), length * 3);
+        let owner = customer.clone();
         let account = self.accounts.entry(customer.clone()).or_default();
-        let silence = account.share.take();
         if account.window != window {
+            // A store followed through the last window goes on; one that was not is taken to be full.
             if account.window + 1 != window {
-                let seen = if plenty { start.saturating_sub(length) } else { self.now };
-                (account.store, account.total, account.seen) = (burst, 0.0, seen);
-            }
-            if let Some(share) = silence.filter(|_| plenty) {
-                // What was left of the share in silence tells what the store may hold, if all fared alike.
-                (account.store, account.seen) = ((share.left * account.spread).min(burst), share.at);
+                (account.store, account.seen) = (burst, self.now);
             }
-            account.window = window;
-            let calm = account.demand * account.spread < rate * CALM;
-            let told = move |c: &mut Control, counted| {
-                let account = c.accounts.entry(owner.clone()).or_default();
-                let total = if let Counted::Total(total) = counted { total } else { account.total };
-                account.follow(total, start.max(account.seen), rate, burst);
-                account.total = 0.0;
-                c.take(&owner, &terms, units);
-            };
-            return match calm || !plenty {
-                true => told(self, Counted::NotAdded),
-                false => self.add(last, 0.0, keep, Box::new(told)),
-            };
+            (account.window, account.total) = (window, 0.0);
         }
         let split = burst / account.spread;
-        let wanted = if account.known { split.min(account.demand * length.as_secs_f64()) } else { split };
+        let wanted = match (plenty, account.known) {
+            (true, false) => split,
+            (true, true) => split.min(account.demand * length.as_secs_f64()),
+            (false, _) => account.demand * length.as_secs_f64() * AHEAD,
+        };
         account.known = true;
         let size = (wanted.max(units) - account.block).ceil();
-        let entry = self.told.entry(plan.clone()).or_default();
-        let extra = (size * entry.1 / entry.0.max(1.0)).min(size * 10.0).round();
-        *entry = (entry.0 * 0.95 + size, entry.1 * 0.95);
-        let extra = if plenty { 0.0 } else { extra };
+        // Calls being scarce, an add also stands for what this gateway sent of the plan without one.
+        let bears = &mut self.bears;
+        let extra =
+            if plenty { 0.0 } else { (size * (bears.unsaid / bears.said.max(1.0)).min(10.0)).round() };
+        (bears.said, bears.unsaid) = (bears.said * 0.95 + size, bears.unsaid * 0.95);
         let told = move |c: &mut Control, counted| {
             let (now, plenty) = (c.now, c.plenty());
             let account = c.accounts.entry(owner.clone()).or_default();
             let (mut more, mut back) = (true, 0.0);
             if let Counted::Total(total) = counted {
-                account.follow(total - size, now, rate, burst);
+                account.follow(total - size - extra, now, rate, burst);
                 let fits = account.store.floor().clamp(0.0, size);
                 more = account.block + fits >= units;
                 let fits = if more { fits } else { 0.0 };
@@ -568,8 +488,8 @@
                 account.total = total - back;
                 if !more {
                     let short = (units - account.block - account.store) / rate;
-                    account.refused_until =
-                        now + Duration::from_secs_f64(short.clamp(0.01, length.as_secs_f64() * 0.5));
+                    let wait = Duration::from_secs_f64(short.clamp(0.01, length.as_secs_f64() * 0.5));
+                    account.refused_until = if plenty { now + wait } else { start + length };
                 }
             }
             if back > 0.0 {
@@ -599,32 +519,26 @@
     /// Room for one more: the gateway's own limit, and for a cold server its part of the rule's budget.
     fn has_room(&self, server: &Server) -> bool {
         let warmth = self.warmth(server);
-        if warmth < 1.0 {
-            let warm =
-                self.servers.values().filter(|server| self.warmth(server) >= 1.0).count().max(1) as f64;
-            let over = self.facts.span("rules.overload_for");
-            let recent = server.sent.iter().filter(|at| **at + over > self.now).count() as f64;
-            let usual = self.done.0 / warm * over.as_secs_f64();
-            if recent >= (usual * warmth * self.facts.number("rules.fall_multiple") * COLD_SHARE).max(1.0) {
-                return false;
-            }
-        }
-        f64::from(server.open) < (server.room * warmth).max(1.0)
+        let (over, now) = (self.facts.span("rules.overload_for"), self.now);
+        let budget = || {
+            let warm = self.servers.values().filter(|server| self.warmth(server) >= 1.0).count().max(1);
+            let usual = self.fleet.done.0 / warm as f64 * over.as_secs_f64();
+            usual * warmth * self.facts.number("rules.fall_multiple") * COLD_SHARE
+        };
+        let recent = server.sent.iter().filter(|at| **at + over > now).count() as f64;
+        let fair = self.fleet.room / self.servers.len().max(1) as f64;
+        (warmth >= 1.0 || recent < budget().max(1.0))
+            && (self.fleet.room <= 0.0 || f64::from(server.open) < (fair * warmth).max(1.0))
     }
 
     /// In overload what is worth least for its work goes first, before it costs counter calls. Load is the
     /// tries open against the room for them; worth is measured against its recent mean.
     fn crowded(&mut self, call: &CallId) -> bool {
         let arrival = &self.calls[call].arrival;
-        let value = self.route(&arrival.route, "billed_value") * self.plan(&arrival.plan, "price");
-        let value = value * arrival.units / self.usual.get(&arrival.route).copied().unwrap_or(1.0).max(0.001);
-        let (mut open, mut room) = (0.0, 0.0);
-        for server in self.servers.values().filter(|server| server.listed.phase == Phase::Ready) {
-            open += f64::from(server.open);
-            room += server.room * self.warmth(server);
-        }
-        let bar = (open / f64::max(room, 0.1) - SHED_FROM) / (1.0 - SHED_FROM) * self.worth;
-        self.worth += (value - self.worth) * 0.02;
+        let value = self.value(arrival) / self.usual.get(&arrival.route).copied().unwrap_or(1.0).max(0.001);
+        let used = if self.fleet.room > 0.0 { self.fleet.open / self.fleet.room } else { 0.0 };
+        let bar = (used - SHED_FROM) / (1.0 - SHED_FROM) * self.fleet.worth;
+        self.fleet.worth += (value - self.fleet.worth) * 0.02;
         value < bar
     }
 
@@ -649,8 +563,8 @@
         let Some(asked) = self.calls.get(&call) else { return self.release(&customer, hold) };
         let (route, units) = (asked.arrival.route.clone(), asked.arrival.units);
         let left = self.patience(asked);
-        let (repeat, group) = (self.said(&route, "repeat"), self.said(&route, "group"));
-        let memory = Duration::from_secs_f64(self.route(&route, "memory_span"));
+        let (repeat, group) = (self.facts.said(&route, "repeat"), self.facts.said(&route, "group"));
+        let memory = Duration::from_secs_f64(self.facts.route(&route, "memory_span"));
         let harmless = |server: &Server| match (&asked.ran, repeat) {
             (None, _) | (_, "idempotent") => true,
             (Some((when, first)), "tokened") if *when + memory > self.now + self.facts.span("resolution") => {
@@ -670,18 +584,18 @@
         if allowed.len() > 1 {
             allowed.retain(|server| Some(server) != asked.last.as_ref());
         }
-        let first = asked.tries == 0;
-        let plan = asked.arrival.plan.clone();
+        let (first, unsure, plan) = (asked.tries == 0, asked.unsure, asked.arrival.plan.clone());
         let barred = allowed.is_empty() || left.is_zero() || asked.out.is_some();
-        if barred || (first && !self.under_ceiling(&customer, &plan, units)) {
+        if barred || (first && !self.under_ceiling(&customer, &plan, units, unsure)) {
             self.release(&customer, hold);
-            self.settle(&customer, if first { -units } else { 0.0 });
+            self.settle(&customer, if first { -units } else { 0.0 }, unsure);
             return self.answer(&call, 1.0);
         }
         let at = self.choose(&allowed);
         let now = self.now;
         let server = self.servers.get_mut(&at).expect("chosen from the list");
         server.open += 1;
+        self.fleet.open += 1.0;
         server.sent.push_back(now);
         server.sent.drain(..server.sent.len().saturating_sub(64));
         let asked = self.calls.get_mut(&call).expect("looked up above");
@@ -692,77 +606,74 @@
         let over = move |c: &mut Control, end: Ended| {
             c.judge(&at, &route, &end);
             c.release(&customer, hold);
-            c.settle(&customer, end.settled.map_or(0.0, |settled| settled - units));
+            c.settle(&customer, end.settled.map_or(0.0, |settled| settled - units), unsure);
             c.over(&call, (now, at), end);
         };
         self.tries.insert(key, Box::new(over));
     }
 
     /// A hard ceiling, kept by this gateway alone: its purse fills at the ceiling's rate, empty at a start
-    /// since an earlier life may have spent it; in silence a send counts for all gateways.
-    fn under_ceiling(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) -> bool {
-        let (rate, depth) = (self.plan(plan, "ceiling_rate"), self.plan(plan, "ceiling_burst"));
-        let (now, started, silent) = (self.now, self.started, self.skipping());
+    /// since an earlier life may have spent it; a send without the counter's word counts for all gateways.
+    fn under_ceiling(&mut self, customer: &CustomerId, plan: &PlanName, units: f64, unsure: bool) -> bool {
+        let (rate, depth) = (self.facts.plan(plan, "ceiling_rate"), self.facts.plan(plan, "ceiling_burst"));
+        let (now, start) = (self.now, Purse { left: 0.0, at: self.started });
         let account = self.accounts.entry(customer.clone()).or_default();
-        let price = if silent { units * account.spread } else { units };
-        rate <= 0.0
-            || account.ceiling.get_or_insert(Purse { left: 0.0, at: started }).pay(now, rate, depth, price)
+        let price = if unsure { units * account.spread } else { units };
+        rate <= 0.0 || account.ceiling.get_or_insert(start).pay(now, rate, depth, price)
     }
 
     /// How long an answer is still worth something.
     fn patience(&self, asked: &Call) -> Duration {
-        let target = Duration::from_secs_f64(self.route(&asked.arrival.route, "latency_target"));
-        let worthless = self.route(&asked.arrival.route, "late_worth") <= 0.0;
-        let until =
-            if worthless { asked.arrival.until.min(asked.born + target) } else { asked.arrival.until };
+        let target = Duration::from_secs_f64(self.facts.route(&asked.arrival.route, "latency_target"));
+        let late = self.facts.route(&asked.arrival.route, "late_worth") > 0.0;
+        let until = asked.arrival.until.min(if late { Duration::MAX } else { asked.born + target });
         until.saturating_sub(self.now)
     }
 
     /// Moves the server's pace, distrust and room by how a try ended.
     fn judge(&mut self, server: &ServerId, route: &RouteName, end: &Ended) {
         let (took, now) = (end.latency.as_secs_f64(), self.now);
-        let quick = took < self.route(route, "latency_target") * QUICK;
+        let quick = took < self.facts.route(route, "latency_target") * QUICK;
         let grow = 1.0 / self.gateways();
+        let all = self.servers.len() as f64;
+        let fleet = &mut self.fleet;
+        fleet.room = if fleet.room > 0.0 { fleet.room } else { ROOM * all * grow };
+        // As in a window of tries: one round of answers moves the room by one whole step.
+        let step = (ROUND / fleet.room).min(1.0);
+        match end.outcome {
+            Outcome::Proxied if quick && fleet.open > fleet.room * 0.6 => fleet.room += all * grow * step,
+            Outcome::Proxied if !quick => fleet.room *= 1.0 - 0.1 * step,
+            Outcome::TimedOut | Outcome::NoConnection | Outcome::Broken | Outcome::TurnedAway => {
+                fleet.room *= 1.0 - 0.3 * step
+            }
+            _ => (),
+        }
+        (fleet.open, fleet.room) = (fleet.open - 1.0, fleet.room.max(all * grow));
         let warm = self.servers.get(server).is_some_and(|server| self.warmth(server) >= 1.0);
         let usual = self.usual.entry(route.clone()).or_insert(took.max(0.001));
         let Some(server) = self.servers.get_mut(server) else { return };
-        let busy = f64::from(server.open) > server.room * 0.6;
         server.open = server.open.saturating_sub(1);
         (server.distrust, server.faded) = (server.distrust_at(now, DISTRUST_HALF), now);
-        let mut cut = 1.0;
         match end.outcome {
             Outcome::Proxied => {
                 server.pace += ((took / *usual).clamp(0.2, 10.0) - server.pace) * 0.1;
                 // Its lower third, so that queues do not make quick routes look like much work.
                 *usual *= if took > *usual { 1.01 } else { 0.98 };
                 if warm {
-                    let faded = (-now.saturating_sub(self.done.1).as_secs_f64() / 10.0).exp();
-                    self.done = (self.done.0 * faded + 0.1, now);
-                }
-                match quick {
-                    true if busy => server.room += grow,
-                    true => (),
-                    false => cut = 0.9,
+                    let faded = (-now.saturating_sub(self.fleet.done.1).as_secs_f64() / 10.0).exp();
+                    self.fleet.done = (self.fleet.done.0 * faded + 0.1, now);
                 }
             }
-            Outcome::TimedOut | Outcome::NoConnection | Outcome::Broken => {
-                server.distrust += 2.0;
-                cut = 0.7;
-            }
+            Outcome::TimedOut | Outcome::NoConnection | Outcome::Broken => server.distrust += 2.0,
             Outcome::ServerError => server.distrust += 0.5,
-            Outcome::TurnedAway => cut = 0.7,
-            Outcome::Cancelled | Outcome::NotSent => (),
-        }
-        if cut < 1.0 && now >= server.cut {
-            server.room = (server.room * cut).max(grow);
-            server.cut = now + ms(100);
+            _ => (),
         }
     }
 
     /// A guess is settled, and a call not sent gets its units back, against block or share.
-    fn settle(&mut self, customer: &CustomerId, off: f64) {
+    fn settle(&mut self, customer: &CustomerId, off: f64, unsure: bool) {
         let account = self.accounts.entry(customer.clone()).or_default();
-        match &mut account.share {
+        match account.share.as_mut().filter(|_| unsure) {
             Some(share) => share.left -= off,
             None => account.block -= off,
         }
@@ -780,16 +691,16 @@
         }
         let (tries, once) = (asked.tries, asked.ran.is_some());
         let (customer, route) = (asked.arrival.customer.clone(), asked.arrival.route.clone());
-        let barred = once && self.said(&route, "repeat") == "non-idempotent";
+        let barred = once && self.facts.said(&route, "repeat") == "non-idempotent";
         let late = self.patience(&self.calls[call]) < ms(50);
         if late
             || barred
             || f64::from(tries) >= self.facts.number("limits.max_attempts")
-            || self.try_budget < 1.0
+            || self.fleet.further < 1.0
         {
             return self.answer(call, 1.0);
         }
-        self.try_budget -= 1.0;
+        self.fleet.further -= 1.0;
         let again = call.clone();
         let held = move |c: &mut Control, hold| match hold {
             Err(ahead) => c.answer(&again, ahead),
@@ -810,8 +721,8 @@
         self.cancel(call, &asked);
         let route = &asked.arrival.route;
         let ran = asked.out.is_some() || asked.ran.is_some();
-        match self.said(route, "repeat") {
-            "tokened" if ran && self.said(route, "group") != "all" => self.port.error(call),
+        match self.facts.said(route, "repeat") {
+            "tokened" if ran && self.facts.said(route, "group") != "all" => self.port.error(call),
             "non-idempotent" if ran => self.port.error(call),
             _ => self.port.rate_limit(call, ADVICE.mul_f64(ahead.max(1.0)).min(LONGEST_ADVICE)),
         }
--- a/src/port.rs
+++ b/src/port.rs
@@ -46,6 +46,18 @@
         }
     }
 
+    pub fn plan(&self, plan: &PlanName, what: &str) -> f64 {
+        self.number(&format!("plans.{}.{what}", plan.0))
+    }
+
+    pub fn route(&self, route: &RouteName, what: &str) -> f64 {
+        self.number(&format!("routes.{}.{what}", route.0))
+    }
+
+    pub fn said(&self, route: &RouteName, what: &str) -> &str {
+        self.text(&format!("routes.{}.{what}", route.0))
+    }
+
     pub fn span(&self, name: &str) -> Duration {
         Duration::from_secs_f64(self.number(name).max(0.0))
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,12 +20,20 @@
     pub arrival: Arrival,
     pub born: Duration,
     pub tries: u32,
+    /// Sent without the counter's word.
+    pub unsure: bool,
     pub out: Option<TryNumber>,
     pub last: Option<ServerId>,
     /// When and where the first try that may have run was sent.
     pub ran: Option<(Duration, ServerId)>,
 }
 
+impl Call {
+    pub fn new(arrival: Arrival, born: Duration, unsure: bool) -> Self {
+        Call { arrival, born, tries: 0, unsure, out: None, last: None, ran: None }
+    }
+}
+
 pub struct Server {
     pub listed: Listed,
     pub open: u32,
@@ -33,20 +41,67 @@
     pub pace: f64,
     pub distrust: f64,
     pub faded: Duration,
-    /// How many tries this gateway may have open here: grows on quick answers, shrinks on slow ones.
-    pub room: f64,
-    pub cut: Duration,
     /// Recent sends, by which a cold server's budget is kept.
     pub sent: VecDeque<Duration>,
 }
 
 impl Server {
+    /// As nothing is known of it yet.
+    pub fn fresh(listed: Listed, open: u32) -> Self {
+        let faded = Duration::ZERO;
+        Server { listed, open, pace: 1.0, distrust: 0.0, faded, sent: VecDeque::new() }
+    }
+
     /// Distrust as it has faded since it was last moved; `half` in seconds.
     pub fn distrust_at(&self, now: Duration, half: f64) -> f64 {
         self.distrust * 0.5f64.powf(now.saturating_sub(self.faded).as_secs_f64() / half)
     }
 }
 
+/// What the counter is seen to bear.
+#[derive(Default)]
+pub struct Bears {
+    /// Calls a second this gateway may make, how many it has in hand, and when that was last moved.
+    pub pace: f64,
+    pub in_hand: f64,
+    pub filled: Duration,
+    /// Calls a second it made of late; up to which pace it speeds up quickly; when it was last slowed.
+    pub calling: f64,
+    pub quick_to: f64,
+    pub slowed: Duration,
+    pub errors: u32,
+    /// Share of API calls whose customer's even split is less than they ask, and mean value of an API call.
+    pub thin: f64,
+    pub value: f64,
+    /// Units of late told to the counter, and sent without a word to it.
+    pub said: f64,
+    pub unsaid: f64,
+}
+
+impl Bears {
+    /// Fades what was made and fills what is in hand.
+    pub fn fill(&mut self, now: Duration, most: f64) {
+        let span = now.saturating_sub(self.filled).as_secs_f64();
+        self.calling *= (-span).exp();
+        self.in_hand = (self.in_hand + span * self.pace).min(most);
+        self.filled = now;
+    }
+}
+
+/// What is seen of the servers together.
+#[derive(Default)]
+pub struct Fleet {
+    /// Tries open, and how many may be: grows on quick answers, shrinks on slow ones.
+    pub open: f64,
+    pub room: f64,
+    /// Mean worth for work of recent API calls.
+    pub worth: f64,
+    /// Further tries that may be made.
+    pub further: f64,
+    /// Answers a second from warm servers, fading over ten seconds, and when it was last faded.
+    pub done: (f64, Duration),
+}
+
 /// Units that refill with time.
 pub struct Purse {
     pub left: f64,
