--- a/src/control.rs
+++ b/src/control.rs
@@ -30,6 +30,7 @@
 const SHED_FROM: f64 = 0.6; // share of the room in use from which little worth for the work is refused
 const FORGET: Duration = ms(60_000); // a customer not heard of for so long
 const DISTRUST_HALF: f64 = 4.0; // seconds
+const DRAWS: u32 = 4; // of servers, before the list is looked through
 const ROOM: f64 = 16.0; // tries open at a server to start with, over all gateways
 const QUICK: f64 = 0.25; // share of the latency target within which an answer is quick
 const ROUND: f64 = 5.0; // so many answers are a round, in a smaller room all of it
@@ -43,6 +44,7 @@
     now: Duration,
     started: Duration,
     servers: BTreeMap<ServerId, Server>,
+    ids: Vec<ServerId>,
     calls: BTreeMap<CallId, Call>,
     accounts: BTreeMap<CustomerId, Account>,
     /// What waits: for answers of the counter, for ends of upstream tries, for a time.
@@ -68,6 +70,7 @@
             now,
             started: now,
             servers: BTreeMap::new(),
+            ids: Vec::new(),
             calls: BTreeMap::new(),
             accounts: BTreeMap::new(),
             counts: BTreeMap::new(),
@@ -93,12 +96,15 @@
     /// The cap on upstream tries out at once; a plan that states none is counted under a generous one: all
     /// that its burst and two seconds of its rate could put out.
     fn cap(&self, plan: &PlanName) -> f64 {
-        let (stated, burst, rate) =
-            (self.facts.plan(plan, "cap"), self.facts.plan(plan, "burst"), self.facts.plan(plan, "rate"));
+        let (stated, (rate, burst, _)) = (self.facts.plan(plan, "cap"), self.terms(plan));
         Some(stated).filter(|cap| *cap > 0.0).unwrap_or((burst + rate * 2.0).max(4.0).ceil())
     }
 
-    // ---- events, each after the time was told ----
+    /// A plan's rate and burst, and the length of its windows in seconds.
+    fn terms(&self, plan: &PlanName) -> (f64, f64, f64) {
+        let (rate, burst) = (self.facts.plan(plan, "rate"), self.facts.plan(plan, "burst"));
+        (rate, burst, if rate > 0.0 { burst / rate } else { 1.0 })
+    }
 
     pub fn tell_time(&mut self, now: Duration) {
         self.now = now;
@@ -118,6 +124,7 @@
             };
             self.servers.insert(id, server);
         }
+        self.ids = self.servers.keys().cloned().collect();
     }
 
     /// A call for the server list failed or the subscription broke: it is asked for again.
@@ -127,12 +134,11 @@
 
     pub fn arrived(&mut self, arrival: Arrival) {
         let now = self.now;
-        let (rate, burst) = (self.facts.plan(&arrival.plan, "rate"), self.facts.plan(&arrival.plan, "burst"));
+        let (rate, burst, window) = self.terms(&arrival.plan);
         let rank = (self.facts.number("index") - f64::from(arrival.first)).rem_euclid(self.gateways());
         let account = self.accounts.entry(arrival.customer.clone()).or_default();
         let spread = f64::from(arrival.spread.max(1));
         (account.spread, account.rank) = (spread, rank);
-        let window = if rate > 0.0 { burst / rate } else { 1.0 };
         let idle = now.saturating_sub(account.asked).as_secs_f64();
         account.demand = account.demand * (-idle / window).exp() + arrival.units / window;
         account.asked = now;
@@ -154,17 +160,14 @@
 
     /// The first try's hold was taken or refused: only now units are charged.
     fn held(&mut self, call: CallId, customer: CustomerId, hold: Result<u64, f64>) {
-        let hold = match hold {
-            Ok(hold) => hold,
-            Err(ahead) => return self.answer(&call, ahead),
-        };
+        let Ok(held) = hold else { return self.answer(&call, hold.unwrap_err()) };
         let paid = call.clone();
-        let charged = move |c: &mut Control, enough| match enough {
-            true => c.send(paid, customer, hold),
-            false => {
-                c.release(&customer, hold);
-                c.answer(&paid, 1.0);
+        let charged = move |c: &mut Control, enough| {
+            if enough {
+                return c.send(paid, customer, held);
             }
+            c.release(&customer, held);
+            c.answer(&paid, 1.0);
         };
         self.charge(&call, Box::new(charged));
     }
@@ -201,7 +204,11 @@
         if token == TICK_TOKEN {
             self.port.wake(TICK_TOKEN, now + TICK);
             self.renew();
-            self.accounts.retain(|_, account| !account.holds.is_empty() || now < account.asked + FORGET);
+            if now.subsec_millis() < 50 {
+                let warm = self.servers.values().filter(|server| self.warmth(server) >= 1.0).count();
+                self.fleet.warm = warm as f64;
+                self.accounts.retain(|_, known| !known.holds.is_empty() || now < known.asked + FORGET);
+            }
         }
         while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= now) {
             entry.remove()(self, ());
@@ -214,8 +221,6 @@
         self.port.wake(DUE_TOKEN, when);
     }
 
-    // ---- the counter ----
-
     /// A customer's number of a stretch of time, 2 and up, and when that began. Its edges fall at a time
     /// of its own, so that not all gateways renew all customers at one instant.
     fn stretch(&self, customer: &CustomerId, length: Duration, at: Duration) -> (u64, Duration) {
@@ -247,12 +252,10 @@
             (bears.errors, bears.in_hand) = (bears.errors + 1, bears.in_hand.min(0.0));
             (bears.pace, bears.quick_to, bears.slowed) = ((made * 0.6).max(LEAST_PACE), made * 0.5, now);
         }
-        if !good && (bears.errors >= ERRORS || bears.thin < THIN) {
+        if !good && now >= self.skip_until && (bears.errors >= ERRORS || bears.thin < THIN) {
             let skip = if counted == Counted::NotAdded { CROWDED_SKIP } else { SKIP };
-            if now >= self.skip_until {
-                self.port.log(&format!("counter skipped for {skip:?}: {counted:?}"));
-            }
-            self.skip_until = self.skip_until.max(now + skip);
+            self.port.log(&format!("counter skipped for {skip:?}: {counted:?}"));
+            self.skip_until = now + skip;
         }
     }
 
@@ -306,9 +309,8 @@
     fn hold(&mut self, call: &CallId, next: Next<Result<u64, f64>>) {
         let arrival = &self.calls[call].arrival;
         let (customer, cap) = (arrival.customer.clone(), self.cap(&arrival.plan));
-        let (rate, burst) = (self.facts.plan(&arrival.plan, "rate"), self.facts.plan(&arrival.plan, "burst"));
+        let (rate, _, window) = self.terms(&arrival.plan);
         let (stated, units) = (self.facts.plan(&arrival.plan, "cap") > 0.0, arrival.units);
-        let window = if rate > 0.0 { burst / rate } else { 1.0 };
         // How long a unit of demand is out: the route's usual latency.
         let each = self.usual.get(&arrival.route).copied().unwrap_or(0.0) / units.max(1.0);
         let cheap = self.cheap(arrival, 1.0);
@@ -337,8 +339,7 @@
                         c.count_in(&owner, renewed, vec![id]);
                     }
                 }
-                _ if unasked => drop(account.holds.insert(id, Vec::new())),
-                _ if account.holds.len() as f64 >= share => return next(c, Err(1.0)),
+                _ if !unasked && account.holds.len() as f64 >= share => return next(c, Err(1.0)),
                 _ => drop(account.holds.insert(id, Vec::new())),
             }
             next(c, Ok(id));
@@ -403,9 +404,9 @@
     fn charge(&mut self, call: &CallId, next: Next<bool>) {
         let Some(Call { arrival, .. }) = self.calls.get(call) else { return next(self, false) };
         let (customer, plan, units) = (arrival.customer.clone(), arrival.plan.clone(), arrival.units);
-        let (rate, burst) = (self.facts.plan(&plan, "rate"), self.facts.plan(&plan, "burst"));
+        let (rate, burst, window) = self.terms(&plan);
         let recent = self.accounts.get(&customer).map_or(0.0, |account| account.demand);
-        let cheap = self.cheap(arrival, (recent * burst / rate * AHEAD / units).max(1.0));
+        let cheap = self.cheap(arrival, (recent * window * AHEAD / units).max(1.0));
         let (now, scarce, silent) = (self.now, !self.plenty(), !self.may_call(cheap));
         // Never to be passed: such a customer's share starts empty and no calm one passes beyond it.
         let hard = self.facts.plan(&plan, "ceiling_rate") > 0.0;
@@ -423,7 +424,7 @@
         }
         if silent || (enough && scarce) {
             // A split over many gateways may be under a unit: who was calm before this call passes.
-            let before = (account.demand - units * rate / burst) * account.spread;
+            let before = (account.demand - units / window) * account.spread;
             let enough = enough || (!hard && before < rate * CALM);
             self.calls.get_mut(call).expect("looked up above").unsure = true;
             self.bears.unsaid += if enough { units } else { 0.0 };
@@ -447,12 +448,13 @@
             return self.go_on(customer, true);
         }
         let plenty = self.plenty();
-        let (rate, burst) = (self.facts.plan(plan, "rate"), self.facts.plan(plan, "burst"));
-        let length = Duration::from_secs_f64(burst / rate);
+        let (rate, burst, window) = self.terms(plan);
+        let length = Duration::from_secs_f64(window);
         let (window, start) = self.stretch(customer, length, self.now);
         let (this, keep) = (CounterName(fixed_hash(&customer.0, 2, window)), length * 3);
         let owner = customer.clone();
         let account = self.accounts.entry(customer.clone()).or_default();
+        let known = account.window > 0;
         if account.window != window {
             // A store followed through the last window goes on; one that was not is taken to be full.
             if account.window + 1 != window {
@@ -460,18 +462,14 @@
             }
             (account.window, account.total) = (window, 0.0);
         }
-        let split = burst / account.spread;
-        let wanted = match (plenty, account.known) {
-            (true, false) => split,
-            (true, true) => split.min(account.demand * length.as_secs_f64()),
-            (false, _) => account.demand * length.as_secs_f64() * AHEAD,
-        };
-        account.known = true;
+        let (split, recent) = (burst / account.spread, account.demand * length.as_secs_f64());
+        let wanted = if known { split.min(recent) } else { split };
+        let wanted = if plenty { wanted } else { recent * AHEAD };
         let size = (wanted.max(units) - account.block).ceil();
         // Calls being scarce, an add also stands for what this gateway sent of the plan without one.
         let bears = &mut self.bears;
-        let extra =
-            if plenty { 0.0 } else { (size * (bears.unsaid / bears.said.max(1.0)).min(10.0)).round() };
+        let share = (bears.unsaid / bears.said.max(1.0)).min(10.0);
+        let extra = if plenty { 0.0 } else { (size * share).round() };
         (bears.said, bears.unsaid) = (bears.said * 0.95 + size, bears.unsaid * 0.95);
         let told = move |c: &mut Control, counted| {
             let (now, plenty) = (c.now, c.plenty());
@@ -507,12 +505,10 @@
         }
     }
 
-    // ---- sending ----
-
     /// How much of its full work a server can do by now, by its age.
     fn warmth(&self, server: &Server) -> f64 {
-        let (from, span) = (self.facts.number("rules.cold_from"), self.facts.number("rules.cold"));
-        let Some(start) = server.listed.started.filter(|_| span > 0.0) else { return 1.0 };
+        let Some(start) = server.listed.started else { return 1.0 };
+        let (from, span) = (self.facts.number("rules.cold_from"), self.facts.number("rules.cold").max(1e-9));
         (from + (1.0 - from) * self.now.saturating_sub(start).as_secs_f64() / span).min(1.0)
     }
 
@@ -520,14 +516,11 @@
     fn has_room(&self, server: &Server) -> bool {
         let warmth = self.warmth(server);
         let (over, now) = (self.facts.span("rules.overload_for"), self.now);
-        let budget = || {
-            let warm = self.servers.values().filter(|server| self.warmth(server) >= 1.0).count().max(1);
-            let usual = self.fleet.done.0 / warm as f64 * over.as_secs_f64();
-            usual * warmth * self.facts.number("rules.fall_multiple") * COLD_SHARE
-        };
-        let recent = server.sent.iter().filter(|at| **at + over > now).count() as f64;
+        let usual = self.fleet.done.0 / self.fleet.warm.max(1.0) * over.as_secs_f64();
+        let budget = || usual * warmth * self.facts.number("rules.fall_multiple") * COLD_SHARE;
+        let recent = || server.sent.iter().filter(|at| **at + over > now).count() as f64;
         let fair = self.fleet.room / self.servers.len().max(1) as f64;
-        (warmth >= 1.0 || recent < budget().max(1.0))
+        (warmth >= 1.0 || recent() < budget().max(1.0))
             && (self.fleet.room <= 0.0 || f64::from(server.open) < (fair * warmth).max(1.0))
     }
 
@@ -549,17 +542,31 @@
         (f64::from(server.open) + 1.0) * server.pace * (1.0 + distrust) / able
     }
 
-    /// Draws two of the allowed servers and takes the one the node's own counts favour.
-    fn choose(&mut self, allowed: &[ServerId]) -> ServerId {
-        let one = self.rng.generate_range(0..allowed.len());
-        let two = (one + self.rng.generate_range(1..allowed.len().max(2))) % allowed.len();
-        let (one, two) = (&allowed[one], &allowed[two]);
-        let better = if self.cost(one) <= self.cost(two) { one } else { two };
-        better.clone()
+    /// Draws two servers that are able and takes the one the node's own counts favour; not the last one tried
+    /// if there is another. The whole list is looked through only where a few draws find fewer than two.
+    fn draw(
+        &self,
+        rng: &mut WyRand,
+        able: &dyn Fn(&Server) -> bool,
+        last: Option<&ServerId>,
+    ) -> Option<ServerId> {
+        let (some, fits) =
+            (!self.ids.is_empty(), |id: &&ServerId| Some(*id) != last && able(&self.servers[*id]));
+        let drawn = (0..DRAWS).filter(|_| some).map(|_| &self.ids[rng.generate_range(0..self.ids.len())]);
+        let mut found: Vec<&ServerId> = drawn.filter(fits).collect();
+        found.dedup();
+        if found.len() < 2 {
+            found = self.ids.iter().filter(fits).collect();
+            rng.shuffle(&mut found);
+        }
+        found.truncate(2);
+        let again = || last.filter(|id| self.servers.get(*id).is_some_and(able));
+        found.into_iter().min_by(|one, two| self.cost(one).total_cmp(&self.cost(two))).or_else(again).cloned()
     }
 
     /// The one place every upstream try passes: the rules on answers, effects, drains and cold servers.
     fn send(&mut self, call: CallId, customer: CustomerId, hold: u64) {
+        let mut rng = self.rng.clone();
         let Some(asked) = self.calls.get(&call) else { return self.release(&customer, hold) };
         let (route, units) = (asked.arrival.route.clone(), asked.arrival.units);
         let left = self.patience(asked);
@@ -576,26 +583,19 @@
             }
             _ => false,
         };
-        let able = |server: &&Server| {
-            server.listed.phase == Phase::Ready && harmless(server) && self.has_room(server)
-        };
-        let mut allowed: Vec<ServerId> =
-            self.servers.values().filter(able).map(|server| server.listed.server.clone()).collect();
-        if allowed.len() > 1 {
-            allowed.retain(|server| Some(server) != asked.last.as_ref());
-        }
+        let able = |at: &Server| at.listed.phase == Phase::Ready && harmless(at) && self.has_room(at);
+        let drawn = self.draw(&mut rng, &able, asked.last.as_ref());
         let (first, unsure, plan) = (asked.tries == 0, asked.unsure, asked.arrival.plan.clone());
-        let barred = allowed.is_empty() || left.is_zero() || asked.out.is_some();
+        let barred = drawn.is_none() || left.is_zero() || asked.out.is_some();
         if barred || (first && !self.under_ceiling(&customer, &plan, units, unsure)) {
             self.release(&customer, hold);
             self.settle(&customer, if first { -units } else { 0.0 }, unsure);
             return self.answer(&call, 1.0);
         }
-        let at = self.choose(&allowed);
-        let now = self.now;
+        let (now, at) = (self.now, drawn.expect("else barred"));
         let server = self.servers.get_mut(&at).expect("chosen from the list");
-        server.open += 1;
-        self.fleet.open += 1.0;
+        self.rng = rng;
+        (server.open, self.fleet.open) = (server.open + 1, self.fleet.open + 1.0);
         server.sent.push_back(now);
         server.sent.drain(..server.sent.len().saturating_sub(64));
         let asked = self.calls.get_mut(&call).expect("looked up above");
--- a/src/port.rs
+++ b/src/port.rs
@@ -3,7 +3,7 @@
 //! A carrier turns its protocol's events into calls on [`crate::control::Control`] and implements [`Port`].
 //! All times are spans since the start of the carrier's clock.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -36,7 +36,7 @@
 /// has one and by its place otherwise (`plans.basic.rate`, `zones.0`). Spans are in seconds. What is missing
 /// reads as nothing: 0, "", false.
 #[derive(Clone, Default, Debug)]
-pub struct Facts(pub BTreeMap<String, Fact>);
+pub struct Facts(pub HashMap<String, Fact>);
 
 impl Facts {
     pub fn number(&self, name: &str) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -100,6 +100,8 @@
     pub further: f64,
     /// Answers a second from warm servers, fading over ten seconds, and when it was last faded.
     pub done: (f64, Duration),
+    /// How many servers are warm.
+    pub warm: f64,
 }
 
 /// Units that refill with time.
@@ -134,8 +136,6 @@
     pub window: u64,
     pub total: f64,
     pub seen: Duration,
-    /// A first block was asked for, so the store has been followed.
-    pub known: bool,
     /// Recent demand in units a second, and when it was last moved.
     pub demand: f64,
     pub asked: Duration,
