Pace is learnt by kind of machine, time-outs count in it, and chance decides where nothing is open

Time-outs now shrink the room like slow answers (0.15), as servers failing one route alone had it shed. Harm: one slow server slows its kind's share a little.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -147,6 +147,7 @@
         started: entry.time("since_ns").ok().filter(|since| !since.is_zero()),
         cell: entry.whole("pod").unwrap_or(0),
         zone: entry.text("region_part").unwrap_or("").to_string(),
+        kind: entry.text("hw").unwrap_or("").to_string(),
         weight: entry.number("weight").unwrap_or(1.0),
     })
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -58,6 +58,8 @@
     fleet: Fleet,
     /// Usual latency of each route, in seconds.
     usual: BTreeMap<RouteName, f64>,
+    /// Pace of each kind of machine, as one server is seen too seldom: latency against the route's usual.
+    kinds: BTreeMap<String, f64>,
 }
 
 impl Control {
@@ -80,6 +82,7 @@
             bears: Bears { quick_to: f64::INFINITY, thin: THIN, filled: now, ..Bears::default() },
             fleet: Fleet { further: 3.0, ..Fleet::default() },
             usual: BTreeMap::new(),
+            kinds: BTreeMap::new(),
         };
         control.bears.pace = START_PACE / control.gateways();
         control.port.wake(TICK_TOKEN, now + TICK);
@@ -235,9 +238,9 @@
     }
 
     /// Step 6. An error has the counter skipped. Where the even split gives most customers less than a call,
-    /// silence would refuse nearly all, so there errors and late answers slow this gateway's calls below
-    /// what it made of late and prompt ones speed them up: many gateways share what the counter bears without
-    /// a word, also one that is slow or half gone. Only errors in a row are an outage. Harm: a counter slow
+    /// silence would refuse nearly all, so there an error slows this gateway's calls below
+    /// what it made of late and prompt answers speed them up: many gateways share what the counter bears
+    /// without a word, also one that is slow or half gone. Errors in a row are an outage. Harm: a counter slow
     /// for this gateway alone is used less than it could be.
     fn feel(&mut self, took: Duration, counted: Counted) {
         let limit = self.facts.span("counter.counter_timeout");
@@ -275,11 +278,6 @@
         most
     }
 
-    /// Whether there are calls in hand for what can be done without.
-    fn plenty(&mut self) -> bool {
-        self.may_call(SPARE)
-    }
-
     fn cheap(&self, arrival: &Arrival, calls: f64) -> f64 {
         1.0 - self.value(arrival) * calls / self.bears.value.max(1e-9)
     }
@@ -318,7 +316,7 @@
         self.next_id += 1;
         let id = self.next_id;
         // Calls being scarce, a cap that was not stated goes uncounted: the units' name tells enough.
-        let unasked = rate > 0.0 && !stated && !self.skipping() && !self.plenty();
+        let unasked = rate > 0.0 && !stated && !self.skipping() && !self.may_call(SPARE);
         let silent = unasked || !self.may_call(cheap);
         let told = move |c: &mut Control, counted| {
             let now = c.stretch(&owner, PERIOD, c.now).0;
@@ -374,7 +372,7 @@
     fn renew(&mut self) {
         let holders = self.accounts.iter().filter(|(_, account)| !account.holds.is_empty());
         let holders: Vec<CustomerId> = holders.map(|(customer, _)| customer.clone()).collect();
-        for customer in if self.plenty() { holders } else { Vec::new() } {
+        for customer in if self.may_call(SPARE) { holders } else { Vec::new() } {
             let next = self.stretch(&customer, PERIOD, self.now + RENEW_AHEAD).0;
             let account = self.accounts.get_mut(&customer).expect("listed above");
             let missing = account.holds.iter().filter(|hold| !hold.1.contains(&next));
@@ -391,10 +389,9 @@
         let now = self.stretch(customer, PERIOD, self.now).0;
         let account = self.accounts.entry(customer.clone()).or_default();
         let periods = account.holds.remove(&hold).unwrap_or_default();
-        for period in periods.into_iter().filter(|period| *period >= now) {
-            if !self.skipping() {
-                self.add_hold(customer, period, -1.0, Box::new(|_, _| ()));
-            }
+        let silent = self.skipping();
+        for period in periods.into_iter().filter(|period| *period >= now && !silent) {
+            self.add_hold(customer, period, -1.0, Box::new(|_, _| ()));
         }
     }
 
@@ -407,7 +404,7 @@
         let (rate, burst, window) = self.terms(&plan);
         let recent = self.accounts.get(&customer).map_or(0.0, |account| account.demand);
         let cheap = self.cheap(arrival, (recent * window * AHEAD / units).max(1.0));
-        let (now, scarce, silent) = (self.now, !self.plenty(), !self.may_call(cheap));
+        let (now, scarce, silent) = (self.now, !self.may_call(SPARE), !self.may_call(cheap));
         // Never to be passed: such a customer's share starts empty and no calm one passes beyond it.
         let hard = self.facts.plan(&plan, "ceiling_rate") > 0.0;
         let account = self.accounts.entry(customer.clone()).or_default();
@@ -444,10 +441,7 @@
     /// One add to the window's name takes a block; what the store cannot give goes back. The store is
     /// followed from the totals: they tell what all gateways took since.
     fn take(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) {
-        if self.skipping() {
-            return self.go_on(customer, true);
-        }
-        let plenty = self.plenty();
+        let plenty = self.may_call(SPARE);
         let (rate, burst, window) = self.terms(plan);
         let length = Duration::from_secs_f64(window);
         let (window, start) = self.stretch(customer, length, self.now);
@@ -472,7 +466,7 @@
         let extra = if plenty { 0.0 } else { (size * share).round() };
         (bears.said, bears.unsaid) = (bears.said * 0.95 + size, bears.unsaid * 0.95);
         let told = move |c: &mut Control, counted| {
-            let (now, plenty) = (c.now, c.plenty());
+            let (now, plenty) = (c.now, c.may_call(SPARE));
             let account = c.accounts.entry(owner.clone()).or_default();
             let (mut more, mut back) = (true, 0.0);
             if let Counted::Total(total) = counted {
@@ -539,11 +533,13 @@
         let server = &self.servers[server];
         let distrust = server.distrust_at(self.now, DISTRUST_HALF);
         let able = server.listed.weight.max(0.1) * self.warmth(server);
-        (f64::from(server.open) + 1.0) * server.pace * (1.0 + distrust) / able
+        let kind = self.kinds.get(&server.listed.kind).copied().unwrap_or(1.0);
+        (f64::from(server.open) + 1.0) * kind * server.pace * (1.0 + distrust) / able
     }
 
-    /// Draws two servers that are able and takes the one the node's own counts favour; not the last one tried
-    /// if there is another. The whole list is looked through only where a few draws find fewer than two.
+    /// Draws two servers that are able, looking through the whole list only where a few draws find fewer, and
+    /// takes the one the node's own counts favour. With nothing open at both, as in a gateway of many, they
+    /// say little: it goes by chance, in proportion, else all gateways crowd what looks a little better.
     fn draw(
         &self,
         rng: &mut WyRand,
@@ -561,7 +557,11 @@
         }
         found.truncate(2);
         let again = || last.filter(|id| self.servers.get(*id).is_some_and(able));
-        found.into_iter().min_by(|one, two| self.cost(one).total_cmp(&self.cost(two))).or_else(again).cloned()
+        let [one, two] = found[..] else { return found.pop().or_else(again).cloned() };
+        let (first, second) = (self.cost(one), self.cost(two));
+        let alike = self.servers[one].open + self.servers[two].open == 0;
+        let chance = if alike { rng.generate::<f64>() } else { 0.5 };
+        Some(if first * chance <= second * (1.0 - chance) { one } else { two }.clone())
     }
 
     /// The one place every upstream try passes: the rules on answers, effects, drains and cold servers.
@@ -642,11 +642,9 @@
         let step = (ROUND / fleet.room).min(1.0);
         match end.outcome {
             Outcome::Proxied if quick && fleet.open > fleet.room * 0.6 => fleet.room += all * grow * step,
-            Outcome::Proxied if !quick => fleet.room *= 1.0 - 0.1 * step,
-            Outcome::TimedOut | Outcome::NoConnection | Outcome::Broken | Outcome::TurnedAway => {
-                fleet.room *= 1.0 - 0.3 * step
-            }
-            _ => (),
+            Outcome::Proxied if quick => (),
+            Outcome::ServerError | Outcome::Cancelled | Outcome::NotSent => (),
+            _ => fleet.room *= 1.0 - 0.15 * step,
         }
         (fleet.open, fleet.room) = (fleet.open - 1.0, fleet.room.max(all * grow));
         let warm = self.servers.get(server).is_some_and(|server| self.warmth(server) >= 1.0);
@@ -654,9 +652,13 @@
         let Some(server) = self.servers.get_mut(server) else { return };
         server.open = server.open.saturating_sub(1);
         (server.distrust, server.faded) = (server.distrust_at(now, DISTRUST_HALF), now);
+        if matches!(end.outcome, Outcome::Proxied | Outcome::TimedOut) {
+            let (kind, pace) = (self.kinds.entry(server.listed.kind.clone()).or_insert(1.0), took / *usual);
+            server.pace += ((pace / *kind).clamp(0.2, 10.0) - server.pace) * 0.1;
+            *kind += (pace.clamp(0.2, 10.0) - *kind) * 0.05;
+        }
         match end.outcome {
             Outcome::Proxied => {
-                server.pace += ((took / *usual).clamp(0.2, 10.0) - server.pace) * 0.1;
                 // Its lower third, so that queues do not make quick routes look like much work.
                 *usual *= if took > *usual { 1.01 } else { 0.98 };
                 if warm {
@@ -693,11 +695,8 @@
         let (customer, route) = (asked.arrival.customer.clone(), asked.arrival.route.clone());
         let barred = once && self.facts.said(&route, "repeat") == "non-idempotent";
         let late = self.patience(&self.calls[call]) < ms(50);
-        if late
-            || barred
-            || f64::from(tries) >= self.facts.number("limits.max_attempts")
-            || self.fleet.further < 1.0
-        {
+        let tried = f64::from(tries) >= self.facts.number("limits.max_attempts");
+        if late || barred || tried || self.fleet.further < 1.0 {
             return self.answer(call, 1.0);
         }
         self.fleet.further -= 1.0;
--- a/src/port.rs
+++ b/src/port.rs
@@ -117,6 +117,7 @@
     pub started: Option<Duration>,
     pub cell: u64,
     pub zone: String,
+    pub kind: String,
     pub weight: f64,
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -4,7 +4,8 @@
 //! use common                      settings from common.set, one "name value" a line
 //! set plans.p.cap 2               one more setting
 //! at 0.5                          moves the clock, waking the gateway on the way; starts it the first time
-//! list a b/7 c@0.4 d!             the server list: a server, one of cell 7, one started at 0.4, one draining
+//! list a b/7 c@0.4 d! e~k          the server list: a server, one of cell 7, one started at 0.4, one draining, one of
+//!                                 machine kind k
 //! change d-                       a change: d is gone
 //! call r1 ann p get 2.5 [units]   an API call: id, customer, plan, route, client timeout in seconds
 //! total H 1 | refused H | lost H  the counter answers the oldest open add on the name labelled H; before it
@@ -88,6 +89,7 @@
 fn server(word: &str) -> Listed {
     let name = word.trim_end_matches(['!', '-']);
     let (name, since) = name.split_once('@').map_or((name, None), |(name, at)| (name, Some(number(at))));
+    let (name, kind) = name.split_once('~').unwrap_or((name, ""));
     let (name, cell) = name.split_once('/').unwrap_or((name, "0"));
     let phase = match word.chars().last() {
         Some('!') => Phase::Draining,
@@ -101,6 +103,7 @@
         started,
         cell: number(cell) as u64,
         zone: String::new(),
+        kind: kind.to_string(),
         weight: 1.0,
     }
 }
