A room of less than one try is carried by chance

Cause: with 883 gateways each let one try out though the room came to 0.1 a gateway; after a hall was lost 2400 tries a second met servers for 1360 and were turned away as full for 15 s. Told from the loss itself by the sends a second.

--- a/src/control.rs
+++ b/src/control.rs
@@ -80,7 +80,7 @@
             due: BTreeMap::new(),
             next_id: 0,
             bears: Bears { quick_to: f64::INFINITY, thin: THIN, filled: now, ..Bears::default() },
-            fleet: Fleet { further: 3.0, ..Fleet::default() },
+            fleet: Fleet { further: 3.0, room: f64::INFINITY, ..Fleet::default() },
             usual: BTreeMap::new(),
             kinds: BTreeMap::new(),
         };
@@ -240,8 +240,8 @@
     /// Step 6. An error has the counter skipped. Where the even split gives most customers less than a call,
     /// silence would refuse nearly all, so there an error slows this gateway's calls below
     /// what it made of late and prompt answers speed them up: many gateways share what the counter bears
-    /// without a word, also one that is slow or half gone. Errors in a row are an outage. Harm: a counter slow
-    /// for this gateway alone is used less than it could be.
+    /// without a word, also one that is slow or half gone. Errors in a row are an outage. Harm: a counter
+    /// slow for this gateway alone is used less than it could be.
     fn feel(&mut self, took: Duration, counted: Counted) {
         let limit = self.facts.span("counter.counter_timeout");
         let good = matches!(counted, Counted::Total(_));
@@ -514,16 +514,16 @@
         let budget = || usual * warmth * self.facts.number("rules.fall_multiple") * COLD_SHARE;
         let recent = || server.sent.iter().filter(|at| **at + over > now).count() as f64;
         let fair = self.fleet.room / self.servers.len().max(1) as f64;
-        (warmth >= 1.0 || recent() < budget().max(1.0))
-            && (self.fleet.room <= 0.0 || f64::from(server.open) < (fair * warmth).max(1.0))
+        (warmth >= 1.0 || recent() < budget().max(1.0)) && f64::from(server.open) < (fair * warmth).max(1.0)
     }
 
     /// In overload what is worth least for its work goes first, before it costs counter calls. Load is the
-    /// tries open against the room for them; worth is measured against its recent mean.
+    /// tries open against the room for them; worth is measured against its recent mean. Chance carries what
+    /// is less than a try: one a gateway would jam servers that hundreds of gateways share.
     fn crowded(&mut self, call: &CallId) -> bool {
         let arrival = &self.calls[call].arrival;
         let value = self.value(arrival) / self.usual.get(&arrival.route).copied().unwrap_or(1.0).max(0.001);
-        let used = if self.fleet.room > 0.0 { self.fleet.open / self.fleet.room } else { 0.0 };
+        let used = (self.fleet.open + self.rng.generate::<f64>()) / self.fleet.room;
         let bar = (used - SHED_FROM) / (1.0 - SHED_FROM) * self.fleet.worth;
         self.fleet.worth += (value - self.fleet.worth) * 0.02;
         value < bar
@@ -637,7 +637,7 @@
         let grow = 1.0 / self.gateways();
         let all = self.servers.len() as f64;
         let fleet = &mut self.fleet;
-        fleet.room = if fleet.room > 0.0 { fleet.room } else { ROOM * all * grow };
+        fleet.room = if fleet.room.is_finite() { fleet.room } else { ROOM * all * grow };
         // As in a window of tries: one round of answers moves the room by one whole step.
         let step = (ROUND / fleet.room).min(1.0);
         match end.outcome {
