--- a/src/control.rs
+++ b/src/control.rs
@@ -238,10 +238,9 @@
     }
 
     /// Step 6. An error has the counter skipped. Where the even split gives most customers less than a call,
-    /// silence would refuse nearly all, so there an error slows this gateway's calls below
-    /// what it made of late and prompt answers speed them up: many gateways share what the counter bears
-    /// without a word, also one that is slow or half gone. Errors in a row are an outage. Harm: a counter
-    /// slow for this gateway alone is used less than it could be.
+    /// silence would refuse nearly all, so there an error slows this gateway's calls below what it made of
+    /// late and prompt answers speed them up: many gateways share what the counter bears without a word, also
+    /// one that is slow or half gone. Errors in a row are an outage. Harm: slow for one, it is used less.
     fn feel(&mut self, took: Duration, counted: Counted) {
         let limit = self.facts.span("counter.counter_timeout");
         let good = matches!(counted, Counted::Total(_));
@@ -457,10 +456,10 @@
             (account.window, account.total) = (window, 0.0);
         }
         let (split, recent) = (burst / account.spread, account.demand * length.as_secs_f64());
-        let wanted = if known { split.min(recent) } else { split };
-        let wanted = if plenty { wanted } else { recent * AHEAD };
+        let wanted =
+            if plenty { f64::min(split, if known { recent } else { split }) } else { recent * AHEAD };
         let size = (wanted.max(units) - account.block).ceil();
-        // Calls being scarce, an add also stands for what this gateway sent of the plan without one.
+        // Calls being scarce, an add also stands for what this gateway sent without one.
         let bears = &mut self.bears;
         let share = (bears.unsaid / bears.said.max(1.0)).min(10.0);
         let extra = if plenty { 0.0 } else { (size * share).round() };
@@ -509,12 +508,14 @@
     /// Room for one more: the gateway's own limit, and for a cold server its part of the rule's budget.
     fn has_room(&self, server: &Server) -> bool {
         let warmth = self.warmth(server);
-        let (over, now) = (self.facts.span("rules.overload_for"), self.now);
-        let usual = self.fleet.done.0 / self.fleet.warm.max(1.0) * over.as_secs_f64();
-        let budget = || usual * warmth * self.facts.number("rules.fall_multiple") * COLD_SHARE;
-        let recent = || server.sent.iter().filter(|at| **at + over > now).count() as f64;
+        let spent = || {
+            let over = self.facts.span("rules.overload_for");
+            let usual = self.fleet.done.0 / self.fleet.warm.max(1.0) * over.as_secs_f64();
+            let budget = usual * warmth * self.facts.number("rules.fall_multiple") * COLD_SHARE;
+            server.sent.iter().filter(|at| **at + over > self.now).count() as f64 >= budget.max(1.0)
+        };
         let fair = self.fleet.room / self.servers.len().max(1) as f64;
-        (warmth >= 1.0 || recent() < budget().max(1.0)) && f64::from(server.open) < (fair * warmth).max(1.0)
+        (warmth >= 1.0 || !spent()) && f64::from(server.open) < (fair * warmth).max(1.0)
     }
 
     /// In overload what is worth least for its work goes first, before it costs counter calls. Load is the
