--- a/src/control.rs
+++ b/src/control.rs
@@ -385,10 +385,9 @@
 
     /// Step 3: any end takes one off every live name in which the hold was counted, and off no other.
     fn release(&mut self, customer: &CustomerId, hold: u64) {
-        let now = self.stretch(customer, PERIOD, self.now).0;
+        let (now, silent) = (self.stretch(customer, PERIOD, self.now).0, self.skipping());
         let account = self.accounts.entry(customer.clone()).or_default();
         let periods = account.holds.remove(&hold).unwrap_or_default();
-        let silent = self.skipping();
         for period in periods.into_iter().filter(|period| *period >= now && !silent) {
             self.add_hold(customer, period, -1.0, Box::new(|_, _| ()));
         }
@@ -456,8 +455,8 @@
             (account.window, account.total) = (window, 0.0);
         }
         let (split, recent) = (burst / account.spread, account.demand * length.as_secs_f64());
-        let wanted =
-            if plenty { f64::min(split, if known { recent } else { split }) } else { recent * AHEAD };
+        let usual = if known { split.min(recent) } else { split };
+        let wanted = if plenty { usual } else { recent * AHEAD };
         let size = (wanted.max(units) - account.block).ceil();
         // Calls being scarce, an add also stands for what this gateway sent without one.
         let bears = &mut self.bears;
