--- /dev/null
+++ b/edge/src/clients.rs
@@ -0,0 +1,310 @@
+//! Clients' connections: takes their commands as they come, piped or in pieces, and answers each in its order.
+
+use crate::calls::{self, Asked, Calls, Open, Place};
+use crate::must;
+use crate::pipe::Pipe;
+use crate::resp;
+use crate::turn::{Hub, News, Serial, Side};
+use mio::net::TcpListener;
+use mio::Interest;
+use slab::Slab;
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wellcrank::port::*;
+
+/// What a command left behind: which API call it is, if any, and its answer if that came before its turn.
+struct Slot {
+    call: Option<Serial>,
+    answer: Option<Vec<u8>>,
+}
+
+struct Client {
+    pipe: Pipe,
+    connection: Serial,
+    /// Number of the first slot.
+    first: u64,
+    slots: VecDeque<Slot>,
+    /// Since when nothing has moved.
+    used: Duration,
+    /// Input was left where it is, for want of room.
+    held_up: bool,
+    /// What came is no RESP2: closed once all before it is answered.
+    closing: bool,
+}
+
+pub struct Clients {
+    listener: TcpListener,
+    connections: Slab<Client>,
+    /// Accepting was left off for want of sockets.
+    waiting: bool,
+    /// Held up connections that may go on.
+    resume: Vec<usize>,
+    /// A server list is known.
+    pub ready: bool,
+}
+
+impl Clients {
+    pub fn listen(hub: &mut Hub, at: SocketAddr) -> io::Result<Clients> {
+        let mut listener = TcpListener::bind(at)?;
+        hub.registry.register(&mut listener, Side::Listener.token(0), Interest::READABLE)?;
+        Ok(Clients { listener, connections: Slab::new(), waiting: false, resume: vec![], ready: false })
+    }
+
+    pub fn len(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Accepts what waits; when short of sockets an idle connection makes room, else the rest waits on.
+    pub fn accept(&mut self, hub: &mut Hub, calls: &mut Calls) {
+        self.waiting = false;
+        loop {
+            if self.connections.len() >= hub.budget.clients && !self.make_room(hub, calls) {
+                self.waiting = true;
+                return;
+            }
+            let socket = match self.listener.accept() {
+                Ok((socket, _)) => socket,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => continue,
+                Err(error) => {
+                    slog::warn!(hub.log, "cannot accept"; "error" => %error);
+                    self.waiting = true;
+                    return;
+                }
+            };
+            let key = self.connections.vacant_key();
+            if let Ok(pipe) = Pipe::accepted(hub, socket, Side::Client, key) {
+                let (connection, used) = (hub.serial(), hub.now);
+                let (slots, held_up, closing) = (VecDeque::new(), false, false);
+                self.connections.insert(Client { pipe, connection, first: 0, slots, used, held_up, closing });
+            }
+        }
+    }
+
+    /// Closes the connection that has been idle longest, if there is one.
+    fn make_room(&mut self, hub: &mut Hub, calls: &mut Calls) -> bool {
+        let idle = self.connections.iter().filter(|(_, client)| client.idle());
+        let longest = idle.min_by_key(|(_, client)| client.used).map(|(key, _)| key);
+        longest.map(|key| self.close(hub, key, calls)).is_some()
+    }
+
+    pub fn ready(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
+        let Some(client) = self.connections.get_mut(key) else { return };
+        client.pipe.drained = false;
+        if client.pipe.left() > 0 {
+            self.flush(hub, key, calls);
+        }
+        self.pump(hub, key, calls);
+    }
+
+    /// Takes commands and reads on, until there is no more or no room.
+    fn pump(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
+        loop {
+            if !self.take(hub, key, calls) {
+                return;
+            }
+            let client = &mut self.connections[key];
+            if client.pipe.drained {
+                return;
+            }
+            client.used = hub.now;
+            if !client.pipe.read(hub, resp::WHOLE) {
+                return self.close(hub, key, calls);
+            }
+        }
+    }
+
+    /// Takes the whole commands in the input. False if the connection is to be read no further now.
+    fn take(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) -> bool {
+        let Some(client) = self.connections.get_mut(key) else { return false };
+        while !client.closing && !client.pipe.input.is_empty() {
+            let most = hub.facts.number("limits.max_open") as usize;
+            let crowded = hub.held > hub.budget.bytes || (most > 0 && calls.len() >= most);
+            client.held_up = crowded || client.pipe.left() > resp::WHOLE;
+            if client.held_up {
+                return false;
+            }
+            match resp::command(&client.pipe.input) {
+                Ok(None) => return true,
+                Ok(Some((words, took))) => {
+                    client.command(hub, key, words, took, calls, self.ready);
+                    client.pipe.take(hub, took);
+                }
+                Err(why) => {
+                    client.closing = true;
+                    client.slots.push_back(Slot { call: None, answer: None });
+                    let number = client.first + client.slots.len() as u64 - 1;
+                    let text = format!("-ERR Protocol error: {why}\r\n");
+                    client.answer(hub, number, |out| out.extend_from_slice(text.as_bytes()));
+                }
+            }
+        }
+        !client.closing
+    }
+
+    /// Writes an answer, now if all before it are answered.
+    pub fn answer(&mut self, hub: &mut Hub, place: Place, write: impl FnOnce(&mut Vec<u8>)) {
+        let client = self.connections.get_mut(place.key).filter(|it| it.connection == place.connection);
+        let Some(client) = client else { return };
+        client.answer(hub, place.number, write);
+        if client.held_up {
+            self.resume.push(place.key);
+        }
+    }
+
+    pub fn flush(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
+        let Some(client) = self.connections.get_mut(key) else { return };
+        match client.pipe.flush(hub) {
+            Ok(moved) => {
+                client.used = if moved { hub.now } else { client.used };
+                if client.held_up && moved {
+                    self.resume.push(key);
+                }
+                if client.closing && client.slots.is_empty() && client.pipe.left() == 0 {
+                    self.close(hub, key, calls);
+                }
+            }
+            Err(_) => self.close(hub, key, calls),
+        }
+    }
+
+    /// The client has gone, or is given up: its open API calls have nobody to answer any more.
+    fn close(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
+        let client = self.connections.remove(key);
+        for slot in client.slots {
+            hub.held -= slot.answer.map_or(0, |answer| answer.len());
+            if let Some(call) = slot.call.map(calls::id).filter(|call| calls.is_open(call)) {
+                hub.news.push_back(News::Gone(call));
+            }
+        }
+        client.pipe.close(hub);
+        if self.waiting {
+            self.accept(hub, calls);
+        }
+    }
+
+    /// Lets held up connections go on that an answer or a write has made room for. Says if there were any.
+    pub fn resume(&mut self, hub: &mut Hub, calls: &mut Calls) -> bool {
+        let keys = std::mem::take(&mut self.resume);
+        for key in &keys {
+            if self.connections.get(*key).is_some_and(|client| client.held_up) {
+                self.pump(hub, *key, calls);
+            }
+        }
+        !keys.is_empty()
+    }
+
+    /// Periodic: who does not take its answers for longer than any client waits is closed, and, when memory is
+    /// short, the largest half commands of clients with nothing open; others held up get a new chance.
+    pub fn sweep(&mut self, hub: &mut Hub, calls: &mut Calls, longest: Duration) {
+        let stuck = |client: &Client| client.pipe.left() > 0 && client.used + longest < hub.now;
+        let mut over = self.keys(stuck);
+        if hub.held > hub.budget.bytes {
+            let idle = self.connections.iter().filter(|(_, client)| client.idle());
+            over.extend(idle.max_by_key(|(_, client)| client.pipe.input.len()).map(|(key, _)| key));
+        }
+        for key in over {
+            if self.connections.contains(key) {
+                self.close(hub, key, calls);
+            }
+        }
+        self.resume = self.keys(|client| client.held_up);
+        if self.waiting {
+            self.accept(hub, calls);
+        }
+    }
+
+    /// The gateway stops: connections with nothing open are closed, unless something has just come.
+    pub fn close_idle(&mut self, hub: &mut Hub, calls: &mut Calls) {
+        for key in self.keys(Client::idle) {
+            self.connections[key].pipe.drained = false;
+            self.pump(hub, key, calls);
+            if self.connections.get(key).is_some_and(Client::idle) {
+                self.close(hub, key, calls);
+            }
+        }
+    }
+
+    fn keys(&self, which: impl Fn(&Client) -> bool) -> Vec<usize> {
+        self.connections.iter().filter(|(_, client)| which(client)).map(|(key, _)| key).collect()
+    }
+}
+
+impl Client {
+    fn idle(&self) -> bool {
+        self.slots.is_empty() && self.pipe.left() == 0
+    }
+
+    /// One whole command, in the first `took` bytes of the input.
+    fn command(
+        &mut self,
+        hub: &mut Hub,
+        key: usize,
+        words: resp::Words,
+        took: usize,
+        calls: &mut Calls,
+        ready: bool,
+    ) {
+        let number = self.first + self.slots.len() as u64;
+        self.slots.push_back(Slot { call: None, answer: None });
+        let bytes = &self.pipe.input[..took];
+        let word = |place: usize| words.get(place).map_or(&[][..], |word| &bytes[word.clone()]);
+        let said = match word(0).to_ascii_uppercase().as_slice() {
+            b"SVC.QUERY" | b"SVC.SUBMIT" => match Asked::new(bytes, words, &hub.facts) {
+                Ok(asked) => return self.call(hub, key, number, asked, calls),
+                Err(why) => format!("-ERR {why}\r\n"),
+            },
+            b"PING" if ready => "+PONG\r\n".into(),
+            b"PING" => "-ERR no server list yet\r\n".into(),
+            b"CLIENT" | b"SELECT" => "+OK\r\n".into(),
+            _ => "-ERR unknown command\r\n".into(),
+        };
+        self.answer(hub, number, |out| out.extend_from_slice(said.as_bytes()));
+    }
+
+    fn call(&mut self, hub: &mut Hub, key: usize, number: u64, asked: Asked, calls: &mut Calls) {
+        let serial = hub.serial();
+        let until = hub.now + asked.wait;
+        let arrival = Arrival {
+            call: calls::id(serial),
+            customer: asked.customer.clone(),
+            plan: asked.plan.clone(),
+            route: asked.route.clone(),
+            units: asked.units,
+            until,
+            first: asked.first,
+            spread: asked.spread,
+        };
+        let place = Place { key, connection: self.connection, number };
+        self.slots.back_mut().expect("pushed for this command").call = Some(serial);
+        hub.held += asked.size();
+        calls.open(serial, Open { asked, until, tries: 0, place, answered: false });
+        hub.news.push_back(News::Arrived(arrival));
+    }
+
+    fn answer(&mut self, hub: &mut Hub, number: u64, write: impl FnOnce(&mut Vec<u8>)) {
+        let place = number.wrapping_sub(self.first) as usize;
+        must!(hub, place < self.slots.len(), "an answer goes to a command that waits for it");
+        if place > 0 {
+            let Some(slot) = self.slots.get_mut(place) else { return };
+            must!(hub, slot.answer.is_none(), "one answer to a command");
+            let mut answer = Vec::new();
+            write(&mut answer);
+            hub.held += answer.len();
+            slot.answer = Some(answer);
+            return;
+        }
+        self.pipe.put(hub, write);
+        self.slots.pop_front();
+        self.first += 1;
+        while let Some(answer) = self.slots.front_mut().and_then(|slot| slot.answer.take()) {
+            hub.held -= answer.len();
+            self.pipe.put(hub, |out| out.extend_from_slice(&answer));
+            self.slots.pop_front();
+            self.first += 1;
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/counter.rs
@@ -0,0 +1,183 @@
+//! Calls to the shared counter: a few connections, calls written one behind another, a name always on the same
+//! one, so that its answers come in order. What comes after its time-out was told is matched off and dropped.
+
+use crate::must;
+use crate::pipe::Pipe;
+use crate::turn::{Due, DueId, Hub, News, Serial, Side};
+use mio::event::Event;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wellcrank::port::*;
+
+/// A call that was written, or will be when the turn ends; left behind for its answer.
+struct Waiting {
+    number: Serial,
+    /// None for a ping, and once the decisions were told that time is up.
+    name: Option<CounterName>,
+    at: Duration,
+    due: DueId,
+    /// How many bytes of this connection there are up to its last.
+    end: usize,
+}
+
+#[derive(Default)]
+struct Line {
+    pipe: Option<Pipe>,
+    waiting: VecDeque<Waiting>,
+    put: usize,
+    /// When something came last.
+    heard: Duration,
+}
+
+pub struct Counter {
+    at: Option<SocketAddr>,
+    lines: Vec<Line>,
+}
+
+fn counted(hub: &mut Hub, name: CounterName, counted: Counted) {
+    hub.news.push_back(News::Counted(name, counted));
+}
+
+impl Counter {
+    pub fn new(hub: &mut Hub, at: Option<SocketAddr>) -> Counter {
+        let lines = (0..hub.budget.counter).map(|_| Line::default()).collect();
+        let mut counter = Counter { at, lines };
+        for place in 0..counter.lines.len() {
+            counter.connect(hub, place);
+        }
+        counter
+    }
+
+    fn connect(&mut self, hub: &mut Hub, place: usize) {
+        let Some(at) = self.at else { return };
+        let pipe = Pipe::connect(hub, at, Side::Counter, place).ok();
+        self.lines[place] = Line { pipe, heard: hub.now, ..Line::default() };
+    }
+
+    pub fn count(&mut self, hub: &mut Hub, name: CounterName, add: f64, keep: Duration) {
+        let place = (name.0 % self.lines.len() as u64) as usize;
+        let limit = hub.facts.span("counter.counter_timeout");
+        // A connection on which calls wait, and nothing has come for longer than a new one and a call on it
+        // would take, may belong to a machine that is gone without a word.
+        let patience = limit + hub.facts.span("limits.connect_timeout");
+        let line = &self.lines[place];
+        let silent = line.waiting.front().is_some_and(|call| call.at.max(line.heard) + patience < hub.now);
+        if silent {
+            self.end(hub, place);
+        }
+        if self.lines[place].pipe.is_none() {
+            self.connect(hub, place);
+        }
+        let line = &mut self.lines[place];
+        let Some(pipe) = &mut line.pipe else { return counted(hub, name, Counted::NotAdded) };
+        let keep = keep.as_millis().clamp(1, 60_000);
+        let call = format!("incr {} {add} {keep}\r\n", name.0);
+        pipe.put(hub, |out| out.extend_from_slice(call.as_bytes()));
+        line.put += call.len();
+        let number = hub.serial();
+        let due = hub.at(hub.now + limit, Due::Count { line: place, number });
+        line.waiting.push_back(Waiting { number, name: Some(name), at: hub.now, due, end: line.put });
+    }
+
+    /// A call's time is up: told at once, as not added where it was not even written.
+    pub fn due(&mut self, hub: &mut Hub, place: usize, number: Serial) {
+        let line = &mut self.lines[place];
+        let written = line.written();
+        let Some(call) = line.waiting.iter_mut().find(|call| call.number == number) else { return };
+        if call.end > written {
+            return self.end(hub, place);
+        }
+        if let Some(name) = call.name.take() {
+            counted(hub, name, Counted::Unsure);
+        }
+    }
+
+    pub fn ready(&mut self, hub: &mut Hub, place: usize, event: &Event) {
+        let Some(pipe) = self.lines.get_mut(place).and_then(|line| line.pipe.as_mut()) else { return };
+        if event.is_writable() && (!pipe.up || pipe.left() > 0) {
+            if pipe.opened().is_err() {
+                return self.end(hub, place);
+            }
+            self.flush(hub, place);
+        }
+        let Some(pipe) = &mut self.lines[place].pipe else { return };
+        if event.is_readable() || event.is_read_closed() || event.is_error() {
+            let open = pipe.read(hub, usize::MAX);
+            if !self.answered(hub, place) || !open {
+                self.end(hub, place);
+            }
+        }
+    }
+
+    /// Hands each answer that has come to the call that waits for it. False if there is none that does.
+    fn answered(&mut self, hub: &mut Hub, place: usize) -> bool {
+        let line = &mut self.lines[place];
+        let Some(pipe) = &mut line.pipe else { return true };
+        let mut took = 0;
+        while let Some(end) = pipe.input[took..].iter().position(|byte| *byte == b'\n') {
+            let text = std::str::from_utf8(&pipe.input[took..took + end]).unwrap_or("").trim_end();
+            let said = match text.split_once(' ') {
+                Some(("ok", total)) => total.parse().ok().map(Counted::Total),
+                _ => matches!(text, "busy" | "error" | "pong").then_some(Counted::NotAdded),
+            };
+            took += end + 1;
+            let (Some(said), Some(call)) = (said, line.waiting.pop_front()) else { return false };
+            hub.unset(call.due);
+            if let Some(name) = call.name {
+                must!(hub, text != "error", "the counter knows the calls that it gets");
+                counted(hub, name, said);
+            }
+            line.heard = hub.now;
+        }
+        if took > 0 {
+            pipe.take(hub, took);
+        }
+        true
+    }
+
+    pub fn flush(&mut self, hub: &mut Hub, place: usize) {
+        let Some(pipe) = &mut self.lines[place].pipe else { return };
+        if pipe.flush(hub).is_err() {
+            self.end(hub, place);
+        }
+    }
+
+    /// The connection is over: what was not written was not added, the rest may have been.
+    fn end(&mut self, hub: &mut Hub, place: usize) {
+        let mut line = std::mem::take(&mut self.lines[place]);
+        let written = line.written();
+        for call in line.waiting.drain(..) {
+            hub.unset(call.due);
+            let how = if call.end > written { Counted::NotAdded } else { Counted::Unsure };
+            if let Some(name) = call.name {
+                counted(hub, name, how);
+            }
+        }
+        if let Some(pipe) = line.pipe {
+            pipe.close(hub);
+        }
+    }
+
+    /// Once a second: a connection on which nothing waits is kept open by a ping, which costs nothing.
+    pub fn sweep(&mut self, hub: &mut Hub) {
+        for line in self.lines.iter_mut().filter(|line| line.waiting.is_empty()) {
+            let Some(pipe) = line.pipe.as_mut().filter(|pipe| pipe.up) else { continue };
+            pipe.put(hub, |out| out.extend_from_slice(b"ping\r\n"));
+            line.put += 6;
+            let (number, due) = (hub.serial(), (hub.now, 0));
+            line.waiting.push_back(Waiting { number, name: None, at: hub.now, due, end: line.put });
+        }
+    }
+
+    /// Nothing waits for the counter but what it was told in vain.
+    pub fn quiet(&self) -> bool {
+        self.lines.iter().all(|line| line.waiting.iter().all(|call| call.name.is_none()))
+    }
+}
+
+impl Line {
+    fn written(&self) -> usize {
+        self.put - self.pipe.as_ref().map_or(0, Pipe::left)
+    }
+}
--- /dev/null
+++ b/edge/src/discovery.rs
@@ -0,0 +1,230 @@
+//! Follows the list of app servers over HTTP/1.1: the whole list first, then one watch after another on one
+//! connection, and a new connection where the old one breaks or stays silent.
+
+use crate::pipe::Pipe;
+use crate::turn::{Hub, Side};
+use mio::event::Event;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wellcrank::port::*;
+
+/// A list or a change of it, as discovery words it.
+#[derive(Deserialize)]
+pub struct News {
+    rev: u64,
+    all: bool,
+    #[serde(default)]
+    targets: Vec<Target>,
+}
+
+#[derive(Deserialize)]
+struct Target {
+    uid: String,
+    #[serde(default)]
+    endpoint: String,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    pod_group: u64,
+    state: String,
+    capacity_hint: Option<f64>,
+    #[serde(default)]
+    boot_ms: u64,
+}
+
+/// The lines of a list, each with the address of the server if it has one.
+pub type Lines = Vec<(Listed, Option<SocketAddr>)>;
+
+impl News {
+    /// Discovery tells starts in Unix time, from which the gateway's clock counts as well.
+    pub fn lines(self) -> (bool, Lines) {
+        let line = |target: Target| {
+            let listed = Listed {
+                server: target.uid.as_str().into(),
+                phase: match target.state.as_str() {
+                    "active" => Phase::Ready,
+                    "left" => Phase::Gone,
+                    _ => Phase::Draining,
+                },
+                started: (target.boot_ms > 0).then(|| Duration::from_millis(target.boot_ms)),
+                cell: target.pod_group,
+                zone: target.az,
+                kind: target.model,
+                weight: target.capacity_hint.unwrap_or(1.0),
+            };
+            (listed, target.endpoint.parse().ok())
+        };
+        (self.all, self.targets.into_iter().map(line).collect())
+    }
+}
+
+pub struct Discovery {
+    at: SocketAddr,
+    host: String,
+    pipe: Option<Pipe>,
+    key: usize,
+    wanted: bool,
+    /// The version that the last list or change had; none where the whole list is wanted.
+    rev: Option<u64>,
+    /// When the call that is out should be answered at the latest, or a new connection is due.
+    patience: Duration,
+    asking: bool,
+}
+
+impl Discovery {
+    pub fn new(at: SocketAddr) -> Discovery {
+        let (pipe, rev, patience) = (None, None, Duration::ZERO);
+        Discovery { at, host: at.to_string(), pipe, key: 0, wanted: false, rev, patience, asking: false }
+    }
+
+    /// Begins or ends following the list.
+    pub fn follow(&mut self, hub: &mut Hub, on: bool) {
+        self.wanted = on;
+        if on && self.pipe.is_none() {
+            self.connect(hub);
+        }
+    }
+
+    /// The next call asks for the whole list.
+    pub fn refetch(&mut self, hub: &mut Hub) {
+        self.rev = None;
+        if !self.asking {
+            self.follow(hub, true);
+        }
+    }
+
+    fn connect(&mut self, hub: &mut Hub) {
+        self.drop_connection(hub);
+        self.key += 1;
+        self.pipe = Pipe::connect(hub, self.at, Side::Discovery, self.key).ok();
+        self.patience = hub.now + hub.facts.span("limits.connect_timeout");
+        // What came while there was no watch is told by the whole list.
+        self.rev = None;
+        self.ask(hub);
+    }
+
+    fn drop_connection(&mut self, hub: &mut Hub) {
+        self.asking = false;
+        if let Some(pipe) = self.pipe.take() {
+            pipe.close(hub);
+        }
+    }
+
+    /// A watch may be silent for half the time within which the rules want the list asked for.
+    fn ask(&mut self, hub: &mut Hub) {
+        let Some(pipe) = &mut self.pipe else { return };
+        let wait = hub.facts.span("rules.ask_within") / 2;
+        let query = match self.rev {
+            Some(rev) => format!("?after={rev}&wait_ms={}", wait.as_millis()),
+            None => String::new(),
+        };
+        let host = &self.host;
+        let call = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {host}\r\n\r\n");
+        pipe.put(hub, |out| out.extend_from_slice(call.as_bytes()));
+        let answer = hub.facts.span("limits.connect_timeout");
+        self.patience = hub.now + answer + if self.rev.is_some() { wait } else { Duration::ZERO };
+        self.asking = true;
+    }
+
+    /// Says what has come, if a whole answer has.
+    pub fn ready(&mut self, hub: &mut Hub, key: usize, event: &Event) -> Option<News> {
+        let pipe = self.pipe.as_mut().filter(|_| key == self.key)?;
+        if event.is_writable() && pipe.left() > 0 {
+            self.flush(hub, key);
+        }
+        let pipe = self.pipe.as_mut()?;
+        let open = pipe.read(hub, usize::MAX);
+        let read = answer(&pipe.input);
+        let news = match read {
+            Ok(Some((news, took))) => {
+                pipe.take(hub, took);
+                self.rev = Some(news.rev);
+                self.asking = false;
+                Some(news)
+            }
+            Ok(None) => None,
+            Err(why) => {
+                slog::warn!(hub.log, "discovery answers what is no list"; "why" => why);
+                self.drop_connection(hub);
+                return None;
+            }
+        };
+        if !open {
+            self.drop_connection(hub);
+        } else if news.is_some() && self.wanted {
+            self.ask(hub);
+        }
+        news
+    }
+
+    pub fn flush(&mut self, hub: &mut Hub, key: usize) {
+        let Some(pipe) = self.pipe.as_mut().filter(|_| key == self.key) else { return };
+        if pipe.flush(hub).is_err() {
+            self.drop_connection(hub);
+        }
+    }
+
+    /// Periodic: a new connection where there is none, or where the old one is silent for too long.
+    pub fn sweep(&mut self, hub: &mut Hub) {
+        if self.wanted && hub.now >= self.patience {
+            if self.pipe.is_some() {
+                slog::warn!(hub.log, "discovery is silent, connecting anew");
+            }
+            self.connect(hub);
+        }
+    }
+}
+
+/// Takes a whole HTTP answer off the front: its list, and the bytes that it took.
+fn answer(bytes: &[u8]) -> Result<Option<(News, usize)>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut head = httparse::Response::new(&mut headers);
+    let start = match head.parse(bytes).map_err(|error| error.to_string())? {
+        httparse::Status::Complete(start) => start,
+        httparse::Status::Partial => return Ok(None),
+    };
+    let header = |name: &str| {
+        let found = head.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
+        found.and_then(|header| std::str::from_utf8(header.value).ok())
+    };
+    let (body, end) = match header("Content-Length").map(str::parse) {
+        Some(Ok(length)) if bytes.len() - start < length => return Ok(None),
+        Some(Ok(length)) => (bytes[start..start + length].to_vec(), start + length),
+        Some(Err(_)) => return Err("a wrong length".into()),
+        None if header("Transfer-Encoding").is_some_and(|how| how.eq_ignore_ascii_case("chunked")) => {
+            match chunks(bytes, start)? {
+                Some(whole) => whole,
+                None => return Ok(None),
+            }
+        }
+        None => return Err("no length".into()),
+    };
+    match head.code {
+        Some(200) => {
+            serde_json::from_slice(&body).map(|news| Some((news, end))).map_err(|error| error.to_string())
+        }
+        code => Err(format!("status {}", code.unwrap_or(0))),
+    }
+}
+
+fn chunks(bytes: &[u8], mut next: usize) -> Result<Option<(Vec<u8>, usize)>, String> {
+    let mut body = Vec::new();
+    loop {
+        let (head, length) = match httparse::parse_chunk_size(&bytes[next..]).map_err(|e| e.to_string())? {
+            httparse::Status::Complete((head, length)) => (head, length as usize),
+            httparse::Status::Partial => return Ok(None),
+        };
+        let (start, end) = (next + head, next + head + length);
+        if bytes.len() < end + 2 {
+            return Ok(None);
+        }
+        body.extend_from_slice(&bytes[start..end]);
+        next = end + 2;
+        if length == 0 {
+            return Ok(Some((body, next)));
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/pipe.rs
@@ -0,0 +1,142 @@
+//! One buffered TCP connection: reads until the socket is empty, collects what is to be written until the end
+//! of the turn, and tells whether all of it was.
+
+use crate::turn::{Hub, Side};
+use mio::net::TcpStream;
+use mio::{Interest, Token};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::SocketAddr;
+
+/// Buffers that have grown past this are given back once they are empty.
+const KEPT: usize = 4096;
+
+pub struct Pipe {
+    socket: TcpStream,
+    token: Token,
+    /// Connected, as far as a write or the poll has told.
+    pub up: bool,
+    /// Nothing more is to be read until the poll says so.
+    pub drained: bool,
+    /// What has come and was not taken yet.
+    pub input: Vec<u8>,
+    output: Vec<u8>,
+    done: usize,
+    marked: bool,
+}
+
+impl Pipe {
+    pub fn connect(hub: &mut Hub, at: SocketAddr, side: Side, key: usize) -> io::Result<Pipe> {
+        Pipe::new(hub, TcpStream::connect(at)?, side, key, false)
+    }
+
+    pub fn accepted(hub: &mut Hub, socket: TcpStream, side: Side, key: usize) -> io::Result<Pipe> {
+        Pipe::new(hub, socket, side, key, true)
+    }
+
+    fn new(hub: &mut Hub, mut socket: TcpStream, side: Side, key: usize, up: bool) -> io::Result<Pipe> {
+        let token = side.token(key);
+        hub.registry.register(&mut socket, token, Interest::READABLE | Interest::WRITABLE)?;
+        // Without it small answers would wait for the other side's acknowledgement.
+        let _ = socket.set_nodelay(true);
+        let (input, output, done) = (Vec::new(), Vec::new(), 0);
+        Ok(Pipe { socket, token, up, drained: false, input, output, done, marked: false })
+    }
+
+    /// Has `write` add to the output; it goes out at the end of the turn.
+    pub fn put(&mut self, hub: &mut Hub, write: impl FnOnce(&mut Vec<u8>)) {
+        let before = self.output.len();
+        write(&mut self.output);
+        hub.held += self.output.len() - before;
+        if !self.marked {
+            self.marked = true;
+            hub.written.push(self.token);
+        }
+    }
+
+    /// Bytes not written yet.
+    pub fn left(&self) -> usize {
+        self.output.len() - self.done
+    }
+
+    /// Writes what it can. Says whether any of it went.
+    pub fn flush(&mut self, hub: &mut Hub) -> io::Result<bool> {
+        self.marked = false;
+        let before = self.done;
+        while self.done < self.output.len() {
+            match self.socket.write(&self.output[self.done..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(some) => self.done += some,
+                Err(error) if error.kind() == ErrorKind::Interrupted => (),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) => return Err(error),
+            }
+        }
+        let moved = self.done > before;
+        self.up |= moved;
+        if self.left() == 0 {
+            hub.held -= self.output.len();
+            shrink(&mut self.output);
+            self.done = 0;
+        }
+        Ok(moved)
+    }
+
+    /// Reads what has come. False once the other side has ended or the connection broke.
+    pub fn read(&mut self, hub: &mut Hub, most: usize) -> bool {
+        while self.input.len() < most {
+            match self.socket.read(&mut hub.scratch) {
+                Ok(0) => return false,
+                Ok(some) => {
+                    self.up = true;
+                    self.input.extend_from_slice(&hub.scratch[..some]);
+                    hub.held += some;
+                    // A short read has emptied the socket: what comes later is told anew.
+                    if some < hub.scratch.len() && !hub.ending {
+                        self.drained = true;
+                        return true;
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => (),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.drained = true;
+                    return true;
+                }
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+
+    /// Takes bytes off the front of the input.
+    pub fn take(&mut self, hub: &mut Hub, count: usize) {
+        hub.held -= count;
+        if count == self.input.len() {
+            shrink(&mut self.input);
+        } else {
+            self.input.drain(..count);
+        }
+    }
+
+    /// The poll says that it can be written to: a connection that was opened is up or has failed.
+    pub fn opened(&mut self) -> io::Result<()> {
+        match self.socket.take_error()? {
+            Some(error) => Err(error),
+            None => {
+                self.up |= self.socket.peer_addr().is_ok();
+                Ok(())
+            }
+        }
+    }
+
+    pub fn close(mut self, hub: &mut Hub) {
+        hub.held -= self.input.len() + self.output.len();
+        let _ = hub.registry.deregister(&mut self.socket);
+    }
+}
+
+fn shrink(buffer: &mut Vec<u8>) {
+    if buffer.capacity() > KEPT {
+        *buffer = Vec::new();
+    }
+    buffer.clear();
+}
--- /dev/null
+++ b/edge/src/pool.rs
@@ -0,0 +1,300 @@
+//! Connections to app servers: one upstream try at a time on each, the latest used first, closed before the app
+//! server would. Whether the last byte of a command was written decides if it may have run; nothing is sent
+//! again from here.
+
+use crate::calls::{Asked, Calls};
+use crate::clients::Clients;
+use crate::must;
+use crate::pipe::Pipe;
+use crate::resp::{self, Reply};
+use crate::turn::{Due, DueId, Hub, News, Serial, Side};
+use mio::event::Event;
+use slab::Slab;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wellcrank::port::*;
+
+/// The upstream try that a connection carries; left behind by the send, handed the answer.
+struct Job {
+    call: CallId,
+    number: TryNumber,
+    sent: Duration,
+    until: Duration,
+    due: DueId,
+    begun: bool,
+    whole: bool,
+}
+
+struct Upstream {
+    pipe: Pipe,
+    server: ServerId,
+    connection: Serial,
+    job: Option<Job>,
+    used: Duration,
+}
+
+struct Known {
+    at: SocketAddr,
+    ready: bool,
+    /// Keys of connections that carry nothing, the latest used last.
+    idle: Vec<usize>,
+}
+
+#[derive(Default)]
+pub struct Pool {
+    connections: Slab<Upstream>,
+    known: BTreeMap<ServerId, Known>,
+    out: BTreeMap<(CallId, TryNumber), usize>,
+}
+
+fn ended(hub: &mut Hub, call: CallId, number: TryNumber, outcome: Outcome, sent: Duration) {
+    let latency = hub.now.saturating_sub(sent);
+    let end = Ended { outcome, latency, closed: false, settled: None, load: BTreeMap::new() };
+    hub.news.push_back(News::Ended(call, number, end));
+}
+
+impl Pool {
+    pub fn not_sent(&mut self, hub: &mut Hub, call: &CallId, number: TryNumber) {
+        ended(hub, call.clone(), number, Outcome::NotSent, hub.now);
+    }
+
+    /// The server list has told: addresses are known, and what was not begun at a server that drains or is
+    /// gone is not begun any more.
+    pub fn listed(&mut self, hub: &mut Hub, whole: bool, lines: Vec<(Listed, Option<SocketAddr>)>) {
+        if whole {
+            for (server, known) in &mut self.known {
+                known.ready &= lines.iter().any(|(line, _)| line.server == *server);
+            }
+        }
+        for (line, at) in lines {
+            let ready = line.phase == Phase::Ready;
+            match (self.known.get_mut(&line.server), at) {
+                (Some(known), at) => (known.ready, known.at) = (ready, at.unwrap_or(known.at)),
+                (None, Some(at)) => drop(self.known.insert(line.server, Known { at, ready, idle: vec![] })),
+                (None, None) => (),
+            }
+        }
+        let leaving = self.known.values().filter(|known| !known.ready);
+        let mut over: Vec<usize> = leaving.flat_map(|known| known.idle.iter().copied()).collect();
+        let unbegun = self.connections.iter().filter(|(_, connection)| {
+            connection.job.as_ref().is_some_and(|job| !job.begun) && !self.known[&connection.server].ready
+        });
+        over.extend(unbegun.map(|(key, _)| key));
+        for key in over {
+            self.fail(hub, key);
+        }
+        let used: Vec<&ServerId> =
+            self.connections.iter().map(|(_, connection)| &connection.server).collect();
+        self.known.retain(|server, known| known.ready || used.contains(&server));
+    }
+
+    /// Begins an upstream try. The one place every send passes: its end is reported in any case.
+    pub fn send(
+        &mut self,
+        hub: &mut Hub,
+        (call, number): (&CallId, TryNumber),
+        server: &ServerId,
+        until: Duration,
+        asked: &Asked,
+    ) {
+        let now = hub.now;
+        let over = |hub: &mut Hub, outcome| ended(hub, call.clone(), number, outcome, now);
+        let Some(known) = self.known.get_mut(server).filter(|known| known.ready) else {
+            return over(hub, Outcome::NoConnection);
+        };
+        let at = known.at;
+        let key = match known.idle.pop() {
+            Some(key) => key,
+            None if !self.make_room(hub) => return over(hub, Outcome::NotSent),
+            None => {
+                let key = self.connections.vacant_key();
+                let pipe = match Pipe::connect(hub, at, Side::Upstream, key) {
+                    Ok(pipe) => pipe,
+                    Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                        return over(hub, Outcome::NoConnection)
+                    }
+                    // No descriptor, no port: the gateway's own want.
+                    Err(_) => return over(hub, Outcome::NotSent),
+                };
+                let connection = hub.serial();
+                let (server, job) = (server.clone(), None);
+                self.connections.insert(Upstream { pipe, server, connection, job, used: now })
+            }
+        };
+        let upstream = &mut self.connections[key];
+        must!(hub, upstream.job.is_none(), "one upstream try on a connection");
+        upstream.pipe.put(hub, |out| asked.put(out, until.saturating_sub(now)));
+        let coming_up = if upstream.pipe.up { until } else { now + hub.facts.span("limits.connect_timeout") };
+        let due = hub.at(until.min(coming_up), Due::Try { key, connection: upstream.connection });
+        let (call, sent) = (call.clone(), now);
+        self.out.insert((call.clone(), number), key);
+        upstream.job = Some(Job { call, number, sent, until, due, begun: false, whole: false });
+    }
+
+    /// Whether one more connection may be opened, if need be in place of the longest idle one.
+    fn make_room(&mut self, hub: &mut Hub) -> bool {
+        if self.connections.len() < hub.budget.upstream {
+            return true;
+        }
+        let longest = self.known.values().filter_map(|known| known.idle.first());
+        let longest = longest.min_by_key(|key| self.connections[**key].used).copied();
+        longest.map(|key| self.close(hub, key)).is_some()
+    }
+
+    /// Gives an upstream try up, by closing its connection.
+    pub fn cancel(&mut self, hub: &mut Hub, call: &CallId, number: TryNumber) {
+        if let Some(key) = self.out.get(&(call.clone(), number)).copied() {
+            self.end(hub, key, Outcome::Cancelled);
+            self.close(hub, key);
+        }
+    }
+
+    /// The time of a try, or the time to connect for it, is up.
+    pub fn due(&mut self, hub: &mut Hub, key: usize, connection: Serial) {
+        let now = hub.now;
+        let Some(upstream) = self.connections.get_mut(key).filter(|it| it.connection == connection) else {
+            return;
+        };
+        let Some(job) = &mut upstream.job else { return };
+        if upstream.pipe.up && now < job.until {
+            job.due = hub.at(job.until, Due::Try { key, connection });
+            return;
+        }
+        let outcome = if job.whole { Outcome::TimedOut } else { Outcome::NoConnection };
+        self.end(hub, key, outcome);
+        self.close(hub, key);
+    }
+
+    pub fn ready(
+        &mut self,
+        hub: &mut Hub,
+        key: usize,
+        event: &Event,
+        calls: &mut Calls,
+        clients: &mut Clients,
+    ) {
+        let Some(upstream) = self.connections.get_mut(key) else { return };
+        if event.is_writable() && upstream.pipe.left() > 0 {
+            if upstream.pipe.opened().is_err() {
+                return self.fail(hub, key);
+            }
+            self.flush(hub, key);
+        }
+        let Some(upstream) = self.connections.get_mut(key) else { return };
+        if event.is_readable() || event.is_read_closed() || event.is_error() {
+            let open = upstream.pipe.read(hub, usize::MAX);
+            self.answered(hub, key, calls, clients);
+            if !open && self.connections.contains(key) {
+                self.fail(hub, key);
+            }
+        }
+    }
+
+    /// Hands a whole answer to the try that waits for it.
+    fn answered(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls, clients: &mut Clients) {
+        let upstream = &mut self.connections[key];
+        if upstream.pipe.input.is_empty() {
+            return;
+        }
+        let Some(job) = &upstream.job else { return self.fail(hub, key) };
+        let (reply, took) = match resp::reply(&upstream.pipe.input) {
+            Ok(Some(read)) => read,
+            Ok(None) => return,
+            Err(_) => return self.fail(hub, key),
+        };
+        let (mut outcome, mut settled) = (Outcome::ServerError, None);
+        let load;
+        match reply {
+            Reply::Value { value, figures, load: report } => {
+                (outcome, load) = (Outcome::Proxied, report);
+                let cost = resp::pairs(figures).find(|(name, _)| *name == "cost");
+                settled = cost.and_then(|(_, units)| units.parse().ok()).filter(|units| *units > 0.0);
+                if let Some(open) = calls.get(&job.call).filter(|open| !open.answered) {
+                    open.answered = true;
+                    clients.answer(hub, open.place, |out| resp::put_bulk(out, value));
+                }
+            }
+            Reply::Busy { load: report } => (outcome, load) = (Outcome::TurnedAway, report),
+            Reply::Failed { text, load: report } => {
+                must!(hub, !text.starts_with("SYNTAX"), "an app server knows the commands it is sent");
+                load = report;
+            }
+        }
+        let load = resp::pairs(load).filter_map(|(name, value)| Some((name.into(), value.parse().ok()?)));
+        let (load, latency) = (load.collect(), hub.now.saturating_sub(job.sent));
+        let end = Ended { outcome, latency, closed: false, settled, load };
+        hub.news.push_back(News::Ended(job.call.clone(), job.number, end));
+        self.out.remove(&(job.call.clone(), job.number));
+        hub.unset(job.due);
+        let whole = job.whole;
+        upstream.pipe.take(hub, took);
+        (upstream.job, upstream.used) = (None, hub.now);
+        let known = self.known.get_mut(&upstream.server).filter(|known| known.ready);
+        match known.filter(|_| whole && upstream.pipe.input.is_empty()) {
+            Some(known) => known.idle.push(key),
+            None => self.close(hub, key),
+        }
+    }
+
+    pub fn flush(&mut self, hub: &mut Hub, key: usize) {
+        let Some(upstream) = self.connections.get_mut(key) else { return };
+        match upstream.pipe.flush(hub) {
+            Ok(moved) => {
+                let left = upstream.pipe.left();
+                if let Some(job) = &mut upstream.job {
+                    job.begun |= moved;
+                    job.whole = left == 0;
+                }
+            }
+            Err(_) => self.fail(hub, key),
+        }
+    }
+
+    /// The connection broke, ended or never came up.
+    fn fail(&mut self, hub: &mut Hub, key: usize) {
+        let whole = self.connections[key].job.as_ref().is_some_and(|job| job.whole);
+        self.end(hub, key, if whole { Outcome::Broken } else { Outcome::NoConnection });
+        self.close(hub, key);
+    }
+
+    fn end(&mut self, hub: &mut Hub, key: usize, outcome: Outcome) {
+        if let Some(job) = self.connections[key].job.take() {
+            hub.unset(job.due);
+            self.out.remove(&(job.call.clone(), job.number));
+            ended(hub, job.call, job.number, outcome, job.sent);
+        }
+    }
+
+    fn close(&mut self, hub: &mut Hub, key: usize) {
+        let upstream = self.connections.remove(key);
+        must!(hub, upstream.job.is_none(), "a try's end is told before its connection closes");
+        if let Some(known) = self.known.get_mut(&upstream.server) {
+            known.idle.retain(|other| *other != key);
+        }
+        upstream.pipe.close(hub);
+    }
+
+    /// Closes the connections to a server that carry nothing.
+    pub fn release(&mut self, hub: &mut Hub, server: &ServerId) {
+        let idle = self.known.get_mut(server).map(|known| std::mem::take(&mut known.idle));
+        for key in idle.unwrap_or_default() {
+            self.close(hub, key);
+        }
+    }
+
+    /// Closes what has been idle for long, sooner by the time to connect than the app server would.
+    pub fn sweep(&mut self, hub: &mut Hub) {
+        let (idle, connect) = (hub.facts.span("limits.idle_close"), hub.facts.span("limits.connect_timeout"));
+        if idle.is_zero() {
+            return;
+        }
+        let old = |key: &&usize| self.connections[**key].used + idle.saturating_sub(connect) <= hub.now;
+        let all = self.known.values();
+        let over: Vec<usize> = all.flat_map(|known| known.idle.iter().take_while(old).copied()).collect();
+        for key in over {
+            self.close(hub, key);
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/world.rs
@@ -0,0 +1,154 @@
+//! All that one gateway owns beside its decisions: the sides, the open API calls and the hub they share. Tells
+//! each event of the poll and each due time to the side that it belongs to.
+
+use crate::calls::Calls;
+use crate::clients::Clients;
+use crate::counter::Counter;
+use crate::discovery::{self, Discovery};
+use crate::peers::Peers;
+use crate::pool::Pool;
+use crate::turn::{Due, Hub, News, Side};
+use mio::event::Event;
+use signal_hook_mio::v1_0::Signals;
+use std::time::Duration;
+use wellcrank::port::*;
+
+pub struct World {
+    pub hub: Hub,
+    pub calls: Calls,
+    pub clients: Clients,
+    pub pool: Pool,
+    pub counter: Counter,
+    pub discovery: Discovery,
+    pub peers: Peers,
+    pub signals: Signals,
+    /// Since when it is to stop.
+    pub stopping: Option<Duration>,
+    /// The longest that a client waits, and when the work of once a second is due.
+    pub longest_wait: Duration,
+    pub second: Duration,
+}
+
+impl World {
+    pub fn ready(&mut self, event: &Event) {
+        let World { hub, calls, clients, pool, .. } = self;
+        match Side::of(event.token()) {
+            (Side::Listener, _) => clients.accept(hub, calls),
+            (Side::Client, key) => clients.ready(hub, key, calls),
+            (Side::Upstream, key) => pool.ready(hub, key, event, calls, clients),
+            (Side::Counter, key) => self.counter.ready(hub, key, event),
+            (Side::Discovery, key) => {
+                if let Some(news) = self.discovery.ready(hub, key, event) {
+                    self.listed(news);
+                }
+            }
+            (Side::Peers, _) => self.peers.ready(hub),
+            (Side::Signal, _) => {
+                if self.signals.pending().count() > 0 && self.stopping.is_none() {
+                    slog::info!(hub.log, "stopping: still answering"; "open" => calls.len());
+                    self.stopping = Some(hub.now);
+                }
+            }
+        }
+    }
+
+    /// A list or a change, from discovery or from the gateway's own configuration.
+    pub fn listed(&mut self, news: discovery::News) {
+        let (whole, lines) = news.lines();
+        if whole || !lines.is_empty() {
+            let told = lines.iter().map(|(line, _)| line.clone()).collect();
+            self.pool.listed(&mut self.hub, whole, lines);
+            self.hub.news.push_back(News::Listed(whole, told));
+        }
+        self.clients.ready = true;
+    }
+
+    pub fn due(&mut self, due: Due) {
+        let hub = &mut self.hub;
+        match due {
+            Due::Try { key, connection } => self.pool.due(hub, key, connection),
+            Due::Count { line, number } => self.counter.due(hub, line, number),
+            Due::Wake(token) => {
+                hub.news.push_back(News::Woken(token));
+                if token == TICK_TOKEN {
+                    self.sweep();
+                }
+            }
+        }
+    }
+
+    /// What is done now and then; hangs on the decisions' one periodic timer.
+    fn sweep(&mut self) {
+        let World { hub, calls, clients, pool, .. } = self;
+        if let Some(since) = self.stopping {
+            // For as long as it takes others to connect and to notice, all goes on as before.
+            if since + hub.facts.span("limits.connect_timeout") * 2 < hub.now {
+                clients.close_idle(hub, calls);
+            }
+        }
+        self.discovery.sweep(hub);
+        if hub.now < self.second {
+            return;
+        }
+        self.second = hub.now + Duration::from_secs(1);
+        hub.clock.follow();
+        hub.report_faults();
+        clients.sweep(hub, calls, self.longest_wait);
+        pool.sweep(hub);
+        self.counter.sweep(hub);
+    }
+
+    /// Told to stop, and nobody is left to answer.
+    pub fn finished(&self) -> bool {
+        let quiet = self.clients.len() == 0 && self.calls.len() == 0 && self.counter.quiet();
+        let long = self.hub.facts.span("limits.connect_timeout") * 2;
+        quiet && self.stopping.is_some_and(|since| since + long < self.hub.now)
+    }
+
+    /// Writes what the turn has collected, once a connection.
+    pub fn flush(&mut self) {
+        let World { hub, calls, clients, pool, .. } = self;
+        for token in std::mem::take(&mut hub.written) {
+            match Side::of(token) {
+                (Side::Client, key) => clients.flush(hub, key, calls),
+                (Side::Upstream, key) => pool.flush(hub, key),
+                (Side::Counter, key) => self.counter.flush(hub, key),
+                (_, key) => self.discovery.flush(hub, key),
+            }
+        }
+    }
+
+    pub fn resume(&mut self) -> bool {
+        self.clients.resume(&mut self.hub, &mut self.calls)
+    }
+
+    /// Sends an API call on, if it is still open and has a try and time left.
+    pub fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration) {
+        let World { hub, calls, pool, .. } = self;
+        let (now, most) = (hub.now, hub.facts.number("limits.max_attempts") as u32);
+        let Some(open) = calls.get(call) else { return };
+        let number = TryNumber(open.tries);
+        open.tries += 1;
+        let until = if timeout.is_zero() { open.until } else { open.until.min(now + timeout) };
+        if open.answered || until <= now || (most > 0 && number.0 >= most) {
+            return pool.not_sent(hub, call, number);
+        }
+        pool.send(hub, (call, number), server, until, &open.asked);
+    }
+
+    /// The one final answer that the decisions give.
+    pub fn answer(&mut self, call: &CallId, write: impl FnOnce(&mut Vec<u8>)) {
+        let place = self.calls.get(call).filter(|open| !open.answered).map(|open| open.place);
+        self.forget(call);
+        if let Some(place) = place {
+            self.clients.answer(&mut self.hub, place, write);
+        }
+    }
+
+    /// The API call is over and the decisions know.
+    pub fn forget(&mut self, call: &CallId) {
+        if let Some(open) = self.calls.remove(call) {
+            self.hub.held -= open.asked.size();
+        }
+    }
+}
--- a/src/port.rs
+++ b/src/port.rs
@@ -32,6 +32,11 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct WakeToken(pub u64);
 
+/// The one periodic timer of an instance, on which a carrier may hang periodic work of its own; all that is due
+/// at other times.
+pub const TICK_TOKEN: WakeToken = WakeToken(1);
+pub const DUE_TOKEN: WakeToken = WakeToken(2);
+
 /// Settings: names to values. Nested names are joined by dots; a list's element goes by its own name where it
 /// has one and by its place otherwise (`plans.basic.rate`, `zones.0`). Spans are in seconds. What is missing
 /// reads as nothing: 0, "", false.
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,9 +6,6 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-pub const TICK_TOKEN: WakeToken = WakeToken(1);
-pub const DUE_TOKEN: WakeToken = WakeToken(2);
-
 pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
