Edge scenarios with stand-ins; memory bounded by open calls, half commands and long answers

At fault: clients.rs took API calls without counting the values that their answers may bring, and an idle connection with a whole command held up could be closed; pool.rs and counter.rs read without an end; discovery.rs called a silent agent four times a second for ever; -BUSY told a time where the settings allow none.

--- a/edge/src/budget.rs
+++ b/edge/src/budget.rs
@@ -9,16 +9,16 @@
     pub clients: usize,
     pub upstream: usize,
     pub counter: usize,
-    /// Bytes in buffers and open API calls from which no more input is taken.
+    /// Bytes in buffers and open API calls from which no more API calls are taken.
     pub bytes: usize,
 }
 
 impl Budget {
     /// The counter gets one connection in 512 (one at least), clients and app servers half of the rest each:
-    /// an API call that is out holds one of either. A quarter of the memory may lie in buffers.
+    /// an API call that is out holds one of either. Half of the memory may lie in buffers.
     pub fn new(sockets: usize, memory_mb: usize) -> Budget {
         let counter = (sockets / 512).clamp(1, 4);
         let rest = sockets.saturating_sub(OWN + counter).max(2);
-        Budget { clients: rest / 2, upstream: rest - rest / 2, counter, bytes: (memory_mb << 20) / 4 }
+        Budget { clients: rest / 2, upstream: rest - rest / 2, counter, bytes: (memory_mb << 20) / 2 }
     }
 }
--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -120,26 +120,25 @@
     /// Takes the whole commands in the input. False if the connection is to be read no further now.
     fn take(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) -> bool {
         let Some(client) = self.connections.get_mut(key) else { return false };
+        client.held_up = false;
         while !client.closing && !client.pipe.input.is_empty() {
-            let most = hub.facts.number("limits.max_open") as usize;
-            let crowded = hub.held > hub.budget.bytes || (most > 0 && calls.len() >= most);
-            client.held_up = crowded || client.pipe.left() > resp::WHOLE;
-            if client.held_up {
-                return false;
-            }
             match resp::command(&client.pipe.input) {
-                Ok(None) => return true,
+                // What is no whole command yet must end within the size of one.
+                Ok(None) if client.pipe.input.len() < resp::WHOLE => return true,
+                Ok(None) => client.malformed(hub, "too long a command"),
                 Ok(Some((words, took))) => {
+                    let most = hub.facts.number("limits.max_open") as usize;
+                    // Each open API call may yet bring a whole value.
+                    let crowded = hub.held + calls.len() * resp::VALUE > hub.budget.bytes;
+                    let full = crowded || (most > 0 && calls.len() >= most);
+                    client.held_up = full || client.pipe.left() > resp::WHOLE;
+                    if client.held_up {
+                        return false;
+                    }
                     client.command(hub, key, words, took, calls, self.ready);
                     client.pipe.take(hub, took);
                 }
-                Err(why) => {
-                    client.closing = true;
-                    client.slots.push_back(Slot { call: None, answer: None });
-                    let number = client.first + client.slots.len() as u64 - 1;
-                    let text = format!("-ERR Protocol error: {why}\r\n");
-                    client.answer(hub, number, |out| out.extend_from_slice(text.as_bytes()));
-                }
+                Err(why) => client.malformed(hub, why),
             }
         }
         !client.closing
@@ -173,7 +172,7 @@
 
     /// The client has gone, or is given up: its open API calls have nobody to answer any more.
     fn close(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
-        let client = self.connections.remove(key);
+        let Some(client) = self.connections.try_remove(key) else { return };
         for slot in client.slots {
             hub.held -= slot.answer.map_or(0, |answer| answer.len());
             if let Some(call) = slot.call.map(calls::id).filter(|call| calls.is_open(call)) {
@@ -201,15 +200,15 @@
     /// short, the largest half commands of clients with nothing open; others held up get a new chance.
     pub fn sweep(&mut self, hub: &mut Hub, calls: &mut Calls, longest: Duration) {
         let stuck = |client: &Client| client.pipe.left() > 0 && client.used + longest < hub.now;
-        let mut over = self.keys(stuck);
-        if hub.held > hub.budget.bytes {
-            let idle = self.connections.iter().filter(|(_, client)| client.idle());
-            over.extend(idle.max_by_key(|(_, client)| client.pipe.input.len()).map(|(key, _)| key));
+        for key in self.keys(stuck) {
+            self.close(hub, key, calls);
         }
-        for key in over {
-            if self.connections.contains(key) {
-                self.close(hub, key, calls);
-            }
+        while hub.held > hub.budget.bytes {
+            let idle =
+                self.connections.iter().filter(|(_, client)| client.idle() && !client.pipe.input.is_empty());
+            let Some((key, _)) = idle.max_by_key(|(_, client)| client.pipe.input.len()) else { break };
+            slog::warn!(hub.log, "memory is short: a half command is dropped"; "held" => hub.held);
+            self.close(hub, key, calls);
         }
         self.resume = self.keys(|client| client.held_up);
         if self.waiting {
@@ -234,8 +233,19 @@
 }
 
 impl Client {
+    /// Nothing that was taken waits for an answer.
     fn idle(&self) -> bool {
-        self.slots.is_empty() && self.pipe.left() == 0
+        self.slots.is_empty() && self.pipe.left() == 0 && !self.held_up
+    }
+
+    /// After what is no RESP2 nothing can be read any more: an error in its turn, then the end.
+    fn malformed(&mut self, hub: &mut Hub, why: &str) {
+        self.closing = true;
+        let number = self.first + self.slots.len() as u64;
+        self.slots.push_back(Slot { call: None, answer: None });
+        self.answer(hub, number, |out| {
+            out.extend_from_slice(format!("-ERR Protocol error: {why}\r\n").as_bytes());
+        });
     }
 
     /// One whole command, in the first `took` bytes of the input.
--- a/edge/src/counter.rs
+++ b/edge/src/counter.rs
@@ -103,9 +103,14 @@
         }
         let Some(pipe) = &mut self.lines[place].pipe else { return };
         if event.is_readable() || event.is_read_closed() || event.is_error() {
-            let open = pipe.read(hub, usize::MAX);
+            pipe.drained = false;
+            let open = pipe.read(hub, hub.scratch.len());
+            let more = !pipe.drained;
             if !self.answered(hub, place) || !open {
-                self.end(hub, place);
+                return self.end(hub, place);
+            }
+            if more {
+                self.ready(hub, place, event);
             }
         }
     }
--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -72,12 +72,23 @@
     /// When the call that is out should be answered at the latest, or a new connection is due.
     patience: Duration,
     asking: bool,
+    /// Calls in a row that went unanswered: each has the next one wait longer.
+    silent: u32,
 }
 
 impl Discovery {
     pub fn new(at: SocketAddr) -> Discovery {
-        let (pipe, rev, patience) = (None, None, Duration::ZERO);
-        Discovery { at, host: at.to_string(), pipe, key: 0, wanted: false, rev, patience, asking: false }
+        Discovery {
+            at,
+            host: at.to_string(),
+            pipe: None,
+            key: 0,
+            wanted: false,
+            rev: None,
+            patience: Duration::ZERO,
+            asking: false,
+            silent: 0,
+        }
     }
 
     /// Begins or ends following the list.
@@ -100,12 +111,17 @@
         self.drop_connection(hub);
         self.key += 1;
         self.pipe = Pipe::connect(hub, self.at, Side::Discovery, self.key).ok();
-        self.patience = hub.now + hub.facts.span("limits.connect_timeout");
         // What came while there was no watch is told by the whole list.
         self.rev = None;
+        self.patience = hub.now + self.answer_time(hub);
         self.ask(hub);
     }
 
+    /// How long an answer that need not wait may take: a connection's time, twice as long after each silence.
+    fn answer_time(&self, hub: &Hub) -> Duration {
+        hub.facts.span("limits.connect_timeout") * (1 << self.silent.min(4))
+    }
+
     fn drop_connection(&mut self, hub: &mut Hub) {
         self.asking = false;
         if let Some(pipe) = self.pipe.take() {
@@ -124,8 +140,8 @@
         let host = &self.host;
         let call = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {host}\r\n\r\n");
         pipe.put(hub, |out| out.extend_from_slice(call.as_bytes()));
-        let answer = hub.facts.span("limits.connect_timeout");
-        self.patience = hub.now + answer + if self.rev.is_some() { wait } else { Duration::ZERO };
+        let wait = if self.rev.is_some() { wait } else { Duration::ZERO };
+        self.patience = hub.now + wait + self.answer_time(hub);
         self.asking = true;
     }
 
@@ -136,13 +152,17 @@
             self.flush(hub, key);
         }
         let pipe = self.pipe.as_mut()?;
-        let open = pipe.read(hub, usize::MAX);
+        let open = pipe.read(hub, hub.budget.bytes);
         let read = answer(&pipe.input);
         let news = match read {
             Ok(Some((news, took))) => {
                 pipe.take(hub, took);
                 self.rev = Some(news.rev);
                 self.asking = false;
+                if self.silent > 0 {
+                    slog::info!(hub.log, "discovery answers again"; "after" => self.silent);
+                }
+                self.silent = 0;
                 Some(news)
             }
             Ok(None) => None,
@@ -170,9 +190,10 @@
     /// Periodic: a new connection where there is none, or where the old one is silent for too long.
     pub fn sweep(&mut self, hub: &mut Hub) {
         if self.wanted && hub.now >= self.patience {
-            if self.pipe.is_some() {
+            if self.silent == 0 {
                 slog::warn!(hub.log, "discovery is silent, connecting anew");
             }
+            self.silent += 1;
             self.connect(hub);
         }
     }
--- a/edge/src/pipe.rs
+++ b/edge/src/pipe.rs
@@ -81,17 +81,21 @@
         Ok(moved)
     }
 
-    /// Reads what has come. False once the other side has ended or the connection broke.
+    /// Reads what has come, as long as the input holds less than `most`. False once the other side has ended or
+    /// the connection broke.
     pub fn read(&mut self, hub: &mut Hub, most: usize) -> bool {
         while self.input.len() < most {
-            match self.socket.read(&mut hub.scratch) {
+            let room = hub.scratch.len().min(most - self.input.len());
+            match self.socket.read(&mut hub.scratch[..room]) {
                 Ok(0) => return false,
                 Ok(some) => {
                     self.up = true;
+                    // Many half commands must not take twice their size.
+                    self.input.reserve_exact(if self.input.is_empty() { some } else { some.max(KEPT) });
                     self.input.extend_from_slice(&hub.scratch[..some]);
                     hub.held += some;
                     // A short read has emptied the socket: what comes later is told anew.
-                    if some < hub.scratch.len() && !hub.ending {
+                    if some < room && !hub.ending {
                         self.drained = true;
                         return true;
                     }
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -184,9 +184,12 @@
         }
         let Some(upstream) = self.connections.get_mut(key) else { return };
         if event.is_readable() || event.is_read_closed() || event.is_error() {
-            let open = upstream.pipe.read(hub, usize::MAX);
+            upstream.pipe.drained = false;
+            let open = upstream.pipe.read(hub, resp::WHOLE);
+            let more = !upstream.pipe.drained;
             self.answered(hub, key, calls, clients);
-            if !open && self.connections.contains(key) {
+            // It has ended, or goes on beyond what an answer can be.
+            if (!open || more) && self.connections.contains(key) {
                 self.fail(hub, key);
             }
         }
--- a/edge/src/resp.rs
+++ b/edge/src/resp.rs
@@ -3,10 +3,10 @@
 use std::ops::Range;
 
 /// The most that a value holds, and the most words and digits that a command may have.
-const VALUE: usize = 64 * 1024;
+pub const VALUE: usize = 64 * 1024;
 const WORDS: usize = 16;
 const LINE: usize = 1024;
-/// The most a connection's unfinished input can come to: a command's words, of which one is a body.
+/// The most that one message can come to: its words, of which one is a body or a value.
 pub const WHOLE: usize = VALUE + WORDS * LINE;
 
 /// Bytes that are no RESP2; says why.
--- a/edge/src/turn.rs
+++ b/edge/src/turn.rs
@@ -153,7 +153,7 @@
     let mut events = Events::with_capacity(1024);
     loop {
         let wait = {
-            let world = world.borrow();
+            let world = &mut *world.borrow_mut();
             if world.finished() {
                 return Ok(());
             }
@@ -229,8 +229,11 @@
         pool.cancel(hub, call, number);
     }
     fn rate_limit(&mut self, call: &CallId, retry_after: Duration) {
-        self.0.borrow_mut().answer(call, |out| {
-            out.extend_from_slice(format!("-BUSY {}\r\n", retry_after.as_millis()).as_bytes());
+        let world = &mut *self.0.borrow_mut();
+        let advised = world.hub.facts.flag("limits.retry_after");
+        world.answer(call, |out| {
+            let advice = format!("-BUSY {}\r\n", retry_after.as_millis());
+            out.extend_from_slice(if advised { advice.as_bytes() } else { b"-BUSY\r\n" });
         });
     }
     fn error(&mut self, call: &CallId) {
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -99,10 +99,15 @@
     }
 
     /// Told to stop, and nobody is left to answer.
-    pub fn finished(&self) -> bool {
+    pub fn finished(&mut self) -> bool {
+        let Some(since) = self.stopping else { return false };
         let quiet = self.clients.len() == 0 && self.calls.len() == 0 && self.counter.quiet();
-        let long = self.hub.facts.span("limits.connect_timeout") * 2;
-        quiet && self.stopping.is_some_and(|since| since + long < self.hub.now)
+        if !quiet || since + self.hub.facts.span("limits.connect_timeout") * 2 >= self.hub.now {
+            return false;
+        }
+        // Who has connected since the last look is still answered.
+        self.clients.accept(&mut self.hub, &mut self.calls);
+        self.clients.len() == 0
     }
 
     /// Writes what the turn has collected, once a connection.
--- /dev/null
+++ b/edge/tests/scenarios.rs
@@ -0,0 +1,407 @@
+//! Plays every scenario in `edge/tests/scenarios` against the built edge node, with stand-ins for app servers,
+//! counter, discovery and clients on free loopback ports. A scenario is a text file of steps, one a line:
+//!
+//! ```text
+//! limits 64 40                    memory in MB and sockets, before the node starts (else 192 and 1024)
+//! server a b                      app servers that listen; 'refuse a' stops one listening, 'deaf a' has it
+//!                                 read nothing from now on
+//! node                            starts the node, which knows the servers so far
+//! list a! b- c                    discovery tells: a drains, b is gone, c is there
+//! ask c1 r1 read capped 9000 [N]  client c1 sends API call r1: route, plan, milliseconds to wait, size of a body
+//! raw c1 *1\r\n$4\r\nPING\r\n       client c1 sends these bytes
+//! hear c1 -BUSY*                  what c1 gets next: a line, '$' and a value, 'end'; '*' stands for any rest
+//! gets a r1                       r1 comes to the app server a ('*': to any)
+//! none                            no command has come to an app server
+//! says r1 $value [cost=2]         the app server answers r1 with a value, or a line; 'break' ends the connection
+//! left r1                         the node has ended the connection on which r1 came
+//! same r1 r2 | apart r1 r2        they came on the same connection, or not
+//! leave c1                        client c1 closes its connection
+//! counter silent|busy|answers     how the counter is from now on; 'counter cut' breaks its connections
+//! even                            in time, the holds counted in the newest period's name are all taken off again
+//! stop; gone                      SIGTERM; the node has ended by itself and well
+//! times 20 STEPS                  the steps, parted by ';', so many times, with '%' the number of the time
+//! ```
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// At an app server: a command's id came on a connection, or the connection with that number ended.
+enum Seen {
+    Command { server: String, id: String, connection: usize },
+    End(usize),
+}
+
+/// Listens on a free port and hands each connection to a thread of its own.
+fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> (String, Arc<AtomicBool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let (at, on) = (listener.local_addr().unwrap().to_string(), Arc::new(AtomicBool::new(true)));
+    let (still, serve) = (on.clone(), Arc::new(serve));
+    spawn(move || {
+        for socket in listener.incoming().take_while(|_| still.load(Ordering::SeqCst)) {
+            let serve = serve.clone();
+            spawn(move || serve(socket.expect("a connection")));
+        }
+    });
+    (at, on)
+}
+
+/// Reads a line without its end; none where the other side has ended.
+fn line(from: &mut impl BufRead) -> Option<String> {
+    let mut line = String::new();
+    (from.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_string())
+}
+
+/// Reads a bulk string whose head was read.
+fn bulk(from: &mut impl BufRead, head: &str) -> Option<String> {
+    let mut value = vec![0; head.strip_prefix('$')?.parse::<usize>().ok()? + 2];
+    from.read_exact(&mut value).ok()?;
+    value.truncate(value.len() - 2);
+    String::from_utf8(value).ok()
+}
+
+#[derive(Default)]
+struct Counter {
+    mode: String,
+    /// Names and their sums, in the order in which the names came up.
+    sums: Vec<(String, f64)>,
+    open: Vec<TcpStream>,
+}
+
+fn counter(state: Arc<Mutex<Counter>>) -> String {
+    let serve = move |socket: TcpStream| {
+        let mut out = socket.try_clone().unwrap();
+        state.lock().unwrap().open.push(socket.try_clone().unwrap());
+        let mut input = BufReader::new(socket);
+        while let Some(call) = line(&mut input) {
+            let words: Vec<&str> = call.split(' ').collect();
+            while state.lock().unwrap().mode == "silent" {
+                sleep(Duration::from_millis(5));
+            }
+            let mut state = state.lock().unwrap();
+            let said = match words[..] {
+                ["ping"] => "pong".to_string(),
+                _ if state.mode == "busy" => "busy".to_string(),
+                ["incr", name, add, _] => {
+                    let sums = &mut state.sums;
+                    let place = sums.iter().position(|(known, _)| known == name).unwrap_or_else(|| {
+                        sums.push((name.to_string(), 0.0));
+                        sums.len() - 1
+                    });
+                    sums[place].1 += add.parse::<f64>().expect("an amount");
+                    format!("ok {}", sums[place].1)
+                }
+                _ => "error".to_string(),
+            };
+            drop(state);
+            let _ = out.write_all(format!("{said}\r\n").as_bytes());
+        }
+    };
+    listen(serve).0
+}
+
+/// Version and entries of the server list.
+type List = Arc<Mutex<(u64, BTreeMap<String, String>)>>;
+
+fn told(list: &List) -> String {
+    let list = list.lock().unwrap();
+    let entries: Vec<&str> = list.1.values().map(String::as_str).collect();
+    format!("{{\"rev\":{},\"all\":true,\"targets\":[{}]}}", list.0, entries.join(","))
+}
+
+fn discovery(list: List) -> String {
+    let serve = move |socket: TcpStream| {
+        let mut out = socket.try_clone().unwrap();
+        let mut input = BufReader::new(socket);
+        while let Some(head) = line(&mut input) {
+            while line(&mut input).is_some_and(|header| !header.is_empty()) {}
+            let after = head.split_once("after=").and_then(|(_, rest)| rest.split('&').next()?.parse().ok());
+            while after == Some(list.lock().unwrap().0) {
+                sleep(Duration::from_millis(5));
+            }
+            let body = told(&list);
+            let _ = write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        }
+    };
+    listen(serve).0
+}
+
+struct Server {
+    at: String,
+    on: Arc<AtomicBool>,
+    deaf: Arc<AtomicBool>,
+}
+
+#[derive(Default)]
+struct Stage {
+    limits: Option<(usize, usize)>,
+    servers: BTreeMap<String, Server>,
+    list: List,
+    counter: Arc<Mutex<Counter>>,
+    node: Option<Child>,
+    at: String,
+    seen: Option<(Sender<Seen>, Receiver<Seen>)>,
+    /// What was seen at app servers and not asked for yet; connections that ended; where each call came.
+    line: VecDeque<(String, String, usize)>,
+    ended: Vec<usize>,
+    came: BTreeMap<String, usize>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+    clients: BTreeMap<String, BufReader<TcpStream>>,
+}
+
+impl Stage {
+    fn server(&mut self, name: &str) {
+        let (sender, streams) = (self.seen.get_or_insert_with(channel).0.clone(), self.streams.clone());
+        let (server, deaf) = (name.to_string(), Arc::new(AtomicBool::new(false)));
+        let closed = deaf.clone();
+        let serve = move |socket: TcpStream| {
+            let connection = {
+                let mut streams = streams.lock().unwrap();
+                streams.push(socket.try_clone().unwrap());
+                streams.len() - 1
+            };
+            let mut input = BufReader::new(socket);
+            loop {
+                while closed.load(Ordering::SeqCst) {
+                    sleep(Duration::from_millis(5));
+                }
+                let words = line(&mut input).and_then(|head| {
+                    let count = head.strip_prefix('*')?.parse().ok()?;
+                    (0..count).map(|_| line(&mut input).and_then(|head| bulk(&mut input, &head))).collect()
+                });
+                let Some(words) = words else { break };
+                let words: Vec<String> = words;
+                let (server, id) = (server.clone(), words[2].trim_start_matches('0').to_string());
+                assert!(words[3].contains("d="), "the list tells how long the node waits");
+                let _ = sender.send(Seen::Command { server, id, connection });
+            }
+            let _ = sender.send(Seen::End(connection));
+        };
+        let (at, on) = listen(serve);
+        self.tell(name, &at, "active");
+        self.servers.insert(name.to_string(), Server { at, on, deaf });
+    }
+
+    fn tell(&mut self, name: &str, at: &str, state: &str) {
+        let mut list = self.list.lock().unwrap();
+        let entry = format!(
+            "{{\"uid\":\"{name}\",\"endpoint\":\"{at}\",\"az\":\"z\",\"model\":\"m\",\"pod_group\":0,\
+             \"state\":\"{state}\",\"capacity_hint\":1.0,\"boot_ms\":0}}"
+        );
+        (list.0, _) = (list.0 + 1, list.1.insert(name.to_string(), entry));
+    }
+
+    fn start(&mut self, scenario: &str) {
+        let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        self.at = free.local_addr().unwrap().to_string();
+        drop(free);
+        let (memory, sockets) = self.limits.unwrap_or((192, 1024));
+        let settings = include_str!("scenarios/settings.json");
+        let config = format!(
+            "{{\"name\":\"n0\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"7\",\"counter\":\"{}\",\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{memory},\"sockets\":{sockets}}},\"known\":{},\
+             \"settings\":{settings}}}",
+            self.at,
+            discovery(self.list.clone()),
+            counter(self.counter.clone()),
+            told(&self.list),
+        );
+        let path = std::env::temp_dir().join(format!("wellcrank-{}-{scenario}.json", std::process::id()));
+        std::fs::write(&path, config).expect("a file for the configuration");
+        let mut node = Command::new(env!("CARGO_BIN_EXE_wellcrank-edge"));
+        self.node =
+            Some(node.env("BALANCER_CONFIG", &path).stderr(Stdio::null()).spawn().expect("the node starts"));
+        self.until(|stage| {
+            let up = TcpStream::connect(&stage.at).is_ok();
+            up.then(|| std::fs::remove_file(&path).expect("the file can be removed"))
+        });
+    }
+
+    /// Asks again and again until there is something, or patience is at its end.
+    fn until<T>(&mut self, mut ask: impl FnMut(&mut Stage) -> Option<T>) -> T {
+        let start = Instant::now();
+        loop {
+            match ask(self) {
+                Some(found) => return found,
+                None => assert!(start.elapsed() < PATIENCE, "nothing came of it"),
+            }
+            sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// Takes in what app servers have seen.
+    fn look(&mut self) {
+        for seen in self.seen.get_or_insert_with(channel).1.try_iter() {
+            match seen {
+                Seen::Command { server, id, connection } => self.line.push_back((server, id, connection)),
+                Seen::End(connection) => self.ended.push(connection),
+            }
+        }
+    }
+
+    fn client(&mut self, name: &str) -> &mut BufReader<TcpStream> {
+        let at = self.at.clone();
+        self.clients.entry(name.to_string()).or_insert_with(|| {
+            let socket = TcpStream::connect(at).expect("the node accepts");
+            socket.set_read_timeout(Some(PATIENCE)).unwrap();
+            BufReader::new(socket)
+        })
+    }
+
+    fn step(&mut self, step: &str) {
+        let words: Vec<&str> = step.split_whitespace().collect();
+        match words[..] {
+            ["limits", memory, sockets] => {
+                self.limits = Some((memory.parse().unwrap(), sockets.parse().unwrap()))
+            }
+            ["server", ref names @ ..] => names.iter().for_each(|name| self.server(name)),
+            ["refuse", name] => {
+                self.servers[name].on.store(false, Ordering::SeqCst);
+                // The listener looks when somebody comes, and is dropped.
+                let _ = TcpStream::connect(&self.servers[name].at);
+                self.until(|stage| TcpStream::connect(&stage.servers[name].at).is_err().then_some(()));
+            }
+            ["deaf", name] => self.servers[name].deaf.store(true, Ordering::SeqCst),
+            ["node"] => panic!("started by the runner"),
+            ["list", ref names @ ..] => {
+                for name in names {
+                    let state = match name.chars().last() {
+                        Some('!') => "leaving",
+                        Some('-') => "left",
+                        _ => "active",
+                    };
+                    let name = name.trim_end_matches(['!', '-']);
+                    let at = self.servers[name].at.clone();
+                    self.tell(name, &at, state);
+                }
+            }
+            ["ask", client, id, route, plan, wait, ref size @ ..] => {
+                let list = format!("c={route},t={plan},d={wait},k=5,units=1,spread=1,first=0");
+                let verb = if route == "read" { "SVC.QUERY" } else { "SVC.SUBMIT" };
+                let (customer, id) = ("00000000b4d65521", format!("{id:0>16}"));
+                let body = "x".repeat(size.first().map_or(4, |size| size.parse().unwrap()));
+                let mut parts = vec![verb, customer, &id, &list];
+                parts.extend((route != "read").then_some(body.as_str()));
+                let parts = parts.iter().map(|part| format!("${}\r\n{part}\r\n", part.len()));
+                let parts: Vec<String> = parts.collect();
+                let command = format!("*{}\r\n{}", parts.len(), parts.concat());
+                self.client(client).get_mut().write_all(command.as_bytes()).expect("the node reads");
+            }
+            ["raw", client, ..] => {
+                let bytes = step.splitn(3, ' ').nth(2).unwrap().replace("\\r", "\r").replace("\\n", "\n");
+                self.client(client).get_mut().write_all(bytes.as_bytes()).expect("the node reads");
+            }
+            ["hear", client, ..] => {
+                let wanted = step.splitn(3, ' ').nth(2).unwrap();
+                let input = self.client(client);
+                let head = line(input).unwrap_or("end".to_string());
+                let got = bulk(input, &head).map_or(head, |value| format!("${value}"));
+                let alike = wanted.strip_suffix('*').map_or(got == wanted, |start| got.starts_with(start));
+                assert!(alike, "got: {}", &got[..got.len().min(60)]);
+            }
+            ["gets", server, id] => {
+                let (at, got, connection) = self.until(|stage| {
+                    stage.look();
+                    let place = stage.line.iter().position(|(_, got, _)| got == id)?;
+                    stage.line.remove(place)
+                });
+                assert!(server == "*" || at == server, "got: {got} at {at}");
+                self.came.insert(id.to_string(), connection);
+            }
+            ["none"] => {
+                self.look();
+                assert!(self.line.is_empty(), "{:?}", self.line);
+            }
+            ["says", id, "break"] => {
+                let _ = self.streams.lock().unwrap()[self.came[id]].shutdown(Shutdown::Both);
+            }
+            ["says", id, said, ref figures @ ..] => {
+                let figures = figures.first().map_or("$-1".into(), |it| format!("${}\r\n{it}", it.len()));
+                let answer = match said.strip_prefix('$') {
+                    Some(value) => format!("*3\r\n${}\r\n{value}\r\n{figures}\r\n$-1\r\n", value.len()),
+                    None => format!("{said}\r\n"),
+                };
+                let mut stream = &self.streams.lock().unwrap()[self.came[id]];
+                stream.write_all(answer.as_bytes()).expect("the node reads");
+            }
+            ["left", id] => {
+                let connection = self.came[id];
+                self.until(|stage| {
+                    stage.look();
+                    stage.ended.contains(&connection).then_some(())
+                });
+            }
+            ["same", one, two] => assert_eq!(self.came[one], self.came[two]),
+            ["apart", one, two] => assert_ne!(self.came[one], self.came[two]),
+            ["leave", client] => drop(self.clients.remove(client).expect("a client")),
+            ["counter", "cut"] => {
+                let open = std::mem::take(&mut self.counter.lock().unwrap().open);
+                open.iter().for_each(|socket| drop(socket.shutdown(Shutdown::Both)));
+            }
+            ["counter", mode] => self.counter.lock().unwrap().mode = mode.to_string(),
+            ["even"] => self.until(|stage| {
+                let counter = stage.counter.lock().unwrap();
+                counter.sums.last().is_some_and(|(_, sum)| *sum == 0.0).then_some(())
+            }),
+            ["stop"] => {
+                let id = self.node.as_ref().expect("a node").id().to_string();
+                assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+            }
+            ["gone"] => {
+                let ended = self.until(|stage| stage.node.as_mut()?.try_wait().expect("its state"));
+                assert!(ended.success(), "{ended}");
+            }
+            ["times", count, ..] => {
+                for time in 0..count.parse().unwrap() {
+                    let steps = step.splitn(3, ' ').nth(2).unwrap().replace('%', &format!("{time}"));
+                    steps.split(';').for_each(|step| self.step(step.trim()));
+                }
+            }
+            _ => panic!("no such step"),
+        }
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        if let Some(mut node) = self.node.take() {
+            let _ = node.kill();
+            let _ = node.wait();
+        }
+    }
+}
+
+#[test]
+fn every_scenario() {
+    let folder = std::fs::read_dir("tests/scenarios").expect("the folder");
+    let mut files: Vec<_> = folder.map(|file| file.unwrap().path()).collect();
+    files.retain(|path| path.extension().is_some_and(|kind| kind == "txt"));
+    files.sort();
+    assert!(!files.is_empty(), "no scenario found");
+    let mut failed = Vec::new();
+    for path in files {
+        let mut stage = Stage::default();
+        let text = std::fs::read_to_string(&path).expect("a scenario");
+        let lines =
+            text.lines().enumerate().map(|(place, line)| (place, line.split('#').next().unwrap().trim()));
+        for (place, step) in lines.filter(|(_, step)| !step.is_empty()) {
+            let play = std::panic::AssertUnwindSafe(|| match step {
+                "node" => stage.start(&path.file_stem().unwrap().to_string_lossy()),
+                step => stage.step(step),
+            });
+            if std::panic::catch_unwind(play).is_err() {
+                failed.push(format!("{}:{}: {step}", path.display(), place + 1));
+                break;
+            }
+        }
+    }
+    assert!(failed.is_empty(), "\n{}", failed.join("\n"));
+}
