--- a/edge/src/calls.rs
+++ b/edge/src/calls.rs
@@ -36,27 +36,34 @@
         if word(2).is_empty() {
             return Err("no id");
         }
-        let terms: BTreeMap<&str, &str> = resp::pairs(text(3)?).collect();
-        let term = |name| terms.get(name).copied().unwrap_or("");
-        let number = |name, missing: f64| match terms.get(name) {
-            None => Ok(missing),
-            Some(text) => {
-                let number = text.parse().ok().filter(|number: &f64| (0.0..1e9).contains(number));
+        let (mut route, mut plan, mut wait) = ("", "", 0.0);
+        let (mut units, mut first, mut spread) = (1.0, 0.0, 1.0);
+        for (name, value) in resp::pairs(text(3)?) {
+            let number = || {
+                let number = value.parse().ok().filter(|number: &f64| (0.0..1e9).contains(number));
                 number.ok_or("a wrong number")
+            };
+            match name {
+                "c" => route = value,
+                "t" => plan = value,
+                "d" => wait = number()?,
+                "units" => units = number()?,
+                "first" => first = number()?,
+                "spread" => spread = number()?,
+                _ => (),
             }
-        };
-        let (route, plan): (RouteName, PlanName) = (term("c").into(), term("t").into());
+        }
+        let (route, plan): (RouteName, PlanName) = (route.into(), plan.into());
         if facts.said(&route, "repeat").is_empty() {
             return Err("no such route");
         }
-        if facts.text(&format!("plans.{}.name", plan.0)).is_empty() {
+        if !facts.has_plan(&plan) {
             return Err("no such plan");
         }
-        let wait = Duration::from_secs_f64(number("d", 0.0)? / 1000.0);
-        if wait.is_zero() {
+        if wait <= 0.0 {
             return Err("no time to answer");
         }
-        let (units, first, spread) = (number("units", 1.0)?, number("first", 0.0)?, number("spread", 1.0)?);
+        let wait = Duration::from_secs_f64(wait / 1000.0);
         Ok(Asked {
             customer: customer.into(),
             route,
@@ -84,14 +91,11 @@
                 continue;
             }
             let list = std::str::from_utf8(word).unwrap_or_default();
-            let mut terms = String::with_capacity(list.len() + 4);
-            for term in list.split(',') {
-                terms.push_str(if terms.is_empty() { "" } else { "," });
-                match term.starts_with("d=") {
-                    true => terms.push_str(&format!("d={}", wait.as_millis().max(1))),
-                    false => terms.push_str(term),
-                }
-            }
+            let start =
+                if list.starts_with("d=") { Some(0) } else { list.find(",d=").map(|comma| comma + 1) };
+            let start = start.expect("the time to wait was read from it");
+            let end = list[start..].find(',').map_or(list.len(), |comma| start + comma);
+            let terms = format!("{}d={}{}", &list[..start], wait.as_millis().max(1), &list[end..]);
             resp::put_bulk(out, terms.as_bytes());
         }
     }
--- a/edge/src/counter.rs
+++ b/edge/src/counter.rs
@@ -6,6 +6,7 @@
 use crate::turn::{Due, DueId, Hub, News, Serial, Side};
 use mio::event::Event;
 use std::collections::VecDeque;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 use wellcrank::port::*;
@@ -72,9 +73,7 @@
         let line = &mut self.lines[place];
         let Some(pipe) = &mut line.pipe else { return counted(hub, name, Counted::NotAdded) };
         let keep = keep.as_millis().clamp(1, 60_000);
-        let call = format!("incr {} {add} {keep}\r\n", name.0);
-        pipe.put(hub, |out| out.extend_from_slice(call.as_bytes()));
-        line.put += call.len();
+        line.put += pipe.put(hub, |out| drop(write!(out, "incr {} {add} {keep}\r\n", name.0)));
         let number = hub.serial();
         let due = hub.at(hub.now + limit, Due::Count { line: place, number });
         line.waiting.push_back(Waiting { number, name: Some(name), at: hub.now, due, end: line.put });
@@ -168,8 +167,7 @@
     pub fn sweep(&mut self, hub: &mut Hub) {
         for line in self.lines.iter_mut().filter(|line| line.waiting.is_empty()) {
             let Some(pipe) = line.pipe.as_mut().filter(|pipe| pipe.up) else { continue };
-            pipe.put(hub, |out| out.extend_from_slice(b"ping\r\n"));
-            line.put += 6;
+            line.put += pipe.put(hub, |out| out.extend_from_slice(b"ping\r\n"));
             let (number, due) = (hub.serial(), (hub.now, 0));
             line.waiting.push_back(Waiting { number, name: None, at: hub.now, due, end: line.put });
         }
--- a/edge/src/pipe.rs
+++ b/edge/src/pipe.rs
@@ -42,15 +42,17 @@
         Ok(Pipe { socket, token, up, drained: false, input, output, done, marked: false })
     }
 
-    /// Has `write` add to the output; it goes out at the end of the turn.
-    pub fn put(&mut self, hub: &mut Hub, write: impl FnOnce(&mut Vec<u8>)) {
+    /// Has `write` add to the output; it goes out at the end of the turn. Says how many bytes it added.
+    pub fn put(&mut self, hub: &mut Hub, write: impl FnOnce(&mut Vec<u8>)) -> usize {
         let before = self.output.len();
         write(&mut self.output);
-        hub.held += self.output.len() - before;
+        let added = self.output.len() - before;
+        hub.held += added;
         if !self.marked {
             self.marked = true;
             hub.written.push(self.token);
         }
+        added
     }
 
     /// Bytes not written yet.
--- a/edge/src/resp.rs
+++ b/edge/src/resp.rs
@@ -1,5 +1,6 @@
 //! RESP2: takes one command or one answer from the front of the bytes that have come, and writes answers.
 
+use std::io::Write;
 use std::ops::Range;
 
 /// The most that a value holds, and the most words and digits that a command may have.
@@ -106,11 +107,11 @@
 
 /// Writes an array's head or a bulk string.
 pub fn put_array(out: &mut Vec<u8>, count: usize) {
-    out.extend_from_slice(format!("*{count}\r\n").as_bytes());
+    let _ = write!(out, "*{count}\r\n");
 }
 
 pub fn put_bulk(out: &mut Vec<u8>, value: &[u8]) {
-    out.extend_from_slice(format!("${}\r\n", value.len()).as_bytes());
+    let _ = write!(out, "${}\r\n", value.len());
     out.extend_from_slice(value);
     out.extend_from_slice(b"\r\n");
 }
--- a/src/port.rs
+++ b/src/port.rs
@@ -3,7 +3,8 @@
 //! A carrier turns its protocol's events into calls on [`crate::control::Control`] and implements [`Port`].
 //! All times are spans since the start of the carrier's clock.
 
-use std::collections::{BTreeMap, HashMap};
+use rustc_hash::FxHashMap;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -41,26 +42,41 @@
 /// has one and by its place otherwise (`plans.basic.rate`, `zones.0`). Spans are in seconds. What is missing
 /// reads as nothing: 0, "", false.
 #[derive(Clone, Default, Debug)]
-pub struct Facts(pub HashMap<String, Fact>);
+pub struct Facts(pub FxHashMap<String, Fact>);
 
 impl Facts {
     pub fn number(&self, name: &str) -> f64 {
-        match self.0.get(name) {
-            Some(Fact::Number(number)) => *number,
-            _ => 0.0,
-        }
+        number(self.0.get(name))
     }
 
     pub fn plan(&self, plan: &PlanName, what: &str) -> f64 {
-        self.number(&format!("plans.{}.{what}", plan.0))
+        number(self.of("plans", &plan.0, what))
     }
 
     pub fn route(&self, route: &RouteName, what: &str) -> f64 {
-        self.number(&format!("routes.{}.{what}", route.0))
+        number(self.of("routes", &route.0, what))
     }
 
     pub fn said(&self, route: &RouteName, what: &str) -> &str {
-        self.text(&format!("routes.{}.{what}", route.0))
+        text(self.of("routes", &route.0, what))
+    }
+
+    /// Whether the settings name such a plan.
+    pub fn has_plan(&self, plan: &PlanName) -> bool {
+        self.of("plans", &plan.0, "name").is_some()
+    }
+
+    /// Asked dozens of times an API call, so the joined name is put together without allocating.
+    fn of(&self, list: &str, item: &str, what: &str) -> Option<&Fact> {
+        let (mut name, mut end) = ([0; 128], 0);
+        for part in [list, ".", item, ".", what] {
+            let Some(room) = name.get_mut(end..end + part.len()) else {
+                return self.0.get(&format!("{list}.{item}.{what}"));
+            };
+            room.copy_from_slice(part.as_bytes());
+            end += part.len();
+        }
+        self.0.get(std::str::from_utf8(&name[..end]).ok()?)
     }
 
     pub fn span(&self, name: &str) -> Duration {
@@ -68,10 +84,7 @@
     }
 
     pub fn text(&self, name: &str) -> &str {
-        match self.0.get(name) {
-            Some(Fact::Text(text)) => text,
-            _ => "",
-        }
+        text(self.0.get(name))
     }
 
     pub fn flag(&self, name: &str) -> bool {
@@ -79,6 +92,20 @@
     }
 }
 
+fn number(fact: Option<&Fact>) -> f64 {
+    match fact {
+        Some(Fact::Number(number)) => *number,
+        _ => 0.0,
+    }
+}
+
+fn text(fact: Option<&Fact>) -> &str {
+    match fact {
+        Some(Fact::Text(text)) => text,
+        _ => "",
+    }
+}
+
 #[derive(Clone, PartialEq, Debug)]
 pub enum Fact {
     Number(f64),
