--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -11,6 +11,7 @@
 mod pipe;
 mod pool;
 mod resp;
+mod tally;
 mod turn;
 mod world;
 
@@ -78,7 +79,7 @@
     };
     let counter = counter::Counter::new(&mut hub, told.counter);
     let waits = facts.0.keys().filter(|name| name.ends_with(".client_timeout")).map(|name| facts.span(name));
-    let (longest_wait, second) = (waits.max().unwrap_or_default(), hub.now);
+    let longest_wait = waits.max().unwrap_or_default();
     let seed = u64::from_str_radix(&told.seed, 16)?;
     let now = hub.now;
     let world = Rc::new(RefCell::new(world::World {
@@ -92,7 +93,8 @@
         signals,
         stopping: None,
         longest_wait,
-        second,
+        seconds: 0,
+        next_second: now,
     }));
     let port = turn::Hands(world.clone());
     let mut control = Control::new((*facts).clone(), seed, now, Box::new(port));
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -56,6 +56,10 @@
 }
 
 impl Pool {
+    pub fn len(&self) -> usize {
+        self.connections.len()
+    }
+
     pub fn not_sent(&mut self, hub: &mut Hub, call: &CallId, number: TryNumber) {
         ended(hub, call.clone(), number, Outcome::NotSent, hub.now);
     }
@@ -216,6 +220,7 @@
                 settled = cost.and_then(|(_, units)| units.parse().ok()).filter(|units| *units > 0.0);
                 if let Some(open) = calls.get(&job.call).filter(|open| !open.answered) {
                     open.answered = true;
+                    hub.tally.proxied += 1;
                     clients.answer(hub, open.place, |out| resp::put_bulk(out, value));
                 }
             }
--- /dev/null
+++ b/edge/src/tally.rs
@@ -0,0 +1,39 @@
+//! Counts what the gateway has done, and logs it once a minute.
+
+use slog::Logger;
+use std::collections::BTreeMap;
+use wellcrank::port::Outcome;
+
+#[derive(Default)]
+pub struct Tally {
+    pub calls: u64,
+    pub proxied: u64,
+    pub limited: u64,
+    pub errored: u64,
+    pub gone: u64,
+    tries: BTreeMap<&'static str, u64>,
+}
+
+impl Tally {
+    pub fn ended(&mut self, outcome: Outcome) {
+        let name = match outcome {
+            Outcome::Proxied => "Proxied",
+            Outcome::ServerError => "ServerError",
+            Outcome::TurnedAway => "TurnedAway",
+            Outcome::TimedOut => "TimedOut",
+            Outcome::NoConnection => "NoConnection",
+            Outcome::Broken => "Broken",
+            Outcome::Cancelled => "Cancelled",
+            Outcome::NotSent => "NotSent",
+        };
+        *self.tries.entry(name).or_default() += 1;
+    }
+
+    /// Logs what was counted, beside how things stand now, and begins anew.
+    pub fn report(&mut self, log: &Logger, open: usize, clients: usize, upstream: usize, held: usize) {
+        let Tally { calls, proxied, limited, errored, gone, tries } = std::mem::take(self);
+        slog::info!(log, "minute"; "calls" => calls, "proxied" => proxied, "limited" => limited,
+            "errored" => errored, "gone" => gone, "open" => open, "clients" => clients,
+            "upstream" => upstream, "held" => held, "tries" => ?tries);
+    }
+}
--- a/edge/src/turn.rs
+++ b/edge/src/turn.rs
@@ -4,6 +4,7 @@
 use crate::budget::Budget;
 use crate::clock::Clock;
 use crate::peers::Peers;
+use crate::tally::Tally;
 use crate::world::World;
 use mio::{Events, Poll, Registry, Token};
 use slog::Logger;
@@ -89,6 +90,7 @@
     pub held: usize,
     /// The poll says that the other side has ended: reads go on until they meet the end.
     pub ending: bool,
+    pub tally: Tally,
     pub log: Logger,
     due: BTreeMap<DueId, Due>,
     last: Serial,
@@ -109,6 +111,7 @@
             scratch: vec![0; 64 * 1024].into(),
             held: 0,
             ending: false,
+            tally: Tally::default(),
             log,
             due: BTreeMap::new(),
             last: 0,
@@ -197,12 +200,16 @@
         };
         control.tell_time(now);
         match news {
-            News::Arrived(arrival) => control.arrived(arrival),
+            News::Arrived(arrival) => {
+                world.borrow_mut().hub.tally.calls += 1;
+                control.arrived(arrival);
+            }
             News::Gone(call) => {
-                world.borrow_mut().forget(&call);
+                world.borrow_mut().left(&call);
                 control.gone(&call);
             }
             News::Ended(call, number, mut end) => {
+                world.borrow_mut().hub.tally.ended(end.outcome);
                 end.closed |= !world.borrow().calls.is_open(&call);
                 let closed = end.closed;
                 control.ended(&call, number, end);
@@ -231,13 +238,16 @@
     fn rate_limit(&mut self, call: &CallId, retry_after: Duration) {
         let world = &mut *self.0.borrow_mut();
         let advised = world.hub.facts.flag("limits.retry_after");
+        world.hub.tally.limited += 1;
         world.answer(call, |out| {
             let advice = format!("-BUSY {}\r\n", retry_after.as_millis());
             out.extend_from_slice(if advised { advice.as_bytes() } else { b"-BUSY\r\n" });
         });
     }
     fn error(&mut self, call: &CallId) {
-        self.0.borrow_mut().answer(call, |out| out.extend_from_slice(b"-ERR failed\r\n"));
+        let world = &mut *self.0.borrow_mut();
+        world.hub.tally.errored += 1;
+        world.answer(call, |out| out.extend_from_slice(b"-ERR failed\r\n"));
     }
     fn count(&mut self, name: CounterName, add: f64, keep: Duration) {
         let World { hub, counter, .. } = &mut *self.0.borrow_mut();
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -24,9 +24,11 @@
     pub signals: Signals,
     /// Since when it is to stop.
     pub stopping: Option<Duration>,
-    /// The longest that a client waits, and when the work of once a second is due.
+    /// The longest that a client waits.
     pub longest_wait: Duration,
-    pub second: Duration,
+    /// Seconds since the start, and when the next one is due.
+    pub seconds: u64,
+    pub next_second: Duration,
 }
 
 impl World {
@@ -87,10 +89,13 @@
             }
         }
         self.discovery.sweep(hub);
-        if hub.now < self.second {
+        if hub.now < self.next_second {
             return;
         }
-        self.second = hub.now + Duration::from_secs(1);
+        (self.seconds, self.next_second) = (self.seconds + 1, hub.now + Duration::from_secs(1));
+        if self.seconds.is_multiple_of(60) {
+            hub.tally.report(&hub.log, calls.len(), clients.len(), pool.len(), hub.held);
+        }
         hub.clock.follow();
         hub.report_faults();
         clients.sweep(hub, calls, self.longest_wait);
@@ -150,6 +155,12 @@
         }
     }
 
+    /// The client of an API call has gone.
+    pub fn left(&mut self, call: &CallId) {
+        self.hub.tally.gone += 1;
+        self.forget(call);
+    }
+
     /// The API call is over and the decisions know.
     pub fn forget(&mut self, call: &CallId) {
         if let Some(open) = self.calls.remove(call) {
