Tests of the wire readers, of stale connections and of clients that do not read; small guards

Read through for what could end the process: a log that nobody takes any more (slog's fuse), a clock set to zero, a chunk length near the largest number, a total that is no number. Each is guarded where it is read.

--- a/edge/src/clock.rs
+++ b/edge/src/clock.rs
@@ -33,6 +33,6 @@
     pub fn follow(&mut self) {
         let (wall, own) = (wall(), self.wall + self.at.elapsed());
         self.wall += wall.saturating_sub(own);
-        self.wall -= own.saturating_sub(wall).min(BACK);
+        self.wall = self.wall.saturating_sub(own.saturating_sub(wall).min(BACK));
     }
 }
--- a/edge/src/counter.rs
+++ b/edge/src/counter.rs
@@ -122,7 +122,9 @@
         while let Some(end) = pipe.input[took..].iter().position(|byte| *byte == b'\n') {
             let text = std::str::from_utf8(&pipe.input[took..took + end]).unwrap_or("").trim_end();
             let said = match text.split_once(' ') {
-                Some(("ok", total)) => total.parse().ok().map(Counted::Total),
+                Some(("ok", total)) => {
+                    total.parse().ok().filter(|total: &f64| total.is_finite()).map(Counted::Total)
+                }
                 _ => matches!(text, "busy" | "error" | "pong").then_some(Counted::NotAdded),
             };
             took += end + 1;
--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -238,8 +238,9 @@
             httparse::Status::Complete((head, length)) => (head, length as usize),
             httparse::Status::Partial => return Ok(None),
         };
-        let (start, end) = (next + head, next + head + length);
-        if bytes.len() < end + 2 {
+        let start = next + head;
+        let end = start.saturating_add(length);
+        if bytes.len() < end.saturating_add(2) {
             return Ok(None);
         }
         body.extend_from_slice(&bytes[start..end]);
@@ -249,3 +250,33 @@
         }
     }
 }
+
+#[test]
+fn answers_are_taken_whole_or_not_at_all() {
+    let body = r#"{"rev":7,"all":false,"targets":[]}"#;
+    let (front, back) = body.split_at(9);
+    let plain = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    let chunked = format!(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{front}\r\n{:x}\r\n{back}\r\n0\r\n\r\n",
+        front.len(),
+        back.len()
+    );
+    for whole in [plain, chunked] {
+        for end in 0..whole.len() {
+            assert!(answer(&whole.as_bytes()[..end]).expect("nothing is wrong").is_none());
+        }
+        let (news, took) = answer(whole.as_bytes()).expect("nothing is wrong").expect("all is there");
+        assert_eq!((news.rev, news.all, took), (7, false, whole.len()));
+    }
+    for wrong in [
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
+        "+OK\r\n\r\n",
+    ] {
+        assert!(answer(wrong.as_bytes()).is_err(), "{wrong}");
+    }
+    let vast = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n";
+    assert!(answer(vast).expect("it may yet come").is_none());
+}
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -61,7 +61,8 @@
 fn logger(name: &str) -> Logger {
     let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
     let drain = slog_term::FullFormat::new(plain).use_utc_timestamp().build();
-    Logger::root(Mutex::new(drain).fuse(), slog::o!("node" => name.to_string()))
+    // A log that nobody takes any more is no reason to stop serving.
+    Logger::root(Mutex::new(drain).ignore_res(), slog::o!("node" => name.to_string()))
 }
 
 fn serve(told: Told, log: &Logger) -> Result<(), Box<dyn Error>> {
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -12,7 +12,8 @@
 //! hear c1 -BUSY*                  what c1 gets next: a line, '$' and a value, 'end'; '*' stands for any rest
 //! gets a r1                       r1 comes to the app server a ('*': to any)
 //! none                            no command has come to an app server
-//! says r1 $value [cost=2]         the app server answers r1 with a value, or a line; 'break' ends the connection
+//! says r1 $value [cost=2]         the app server answers r1 with a value ('$x*9': repeated), or a line; 'break'
+//!                                 ends the connection
 //! left r1                         the node has ended the connection on which r1 came
 //! same r1 r2 | apart r1 r2        they came on the same connection, or not
 //! leave c1                        client c1 closes its connection
@@ -325,6 +326,10 @@
             }
             ["says", id, said, ref figures @ ..] => {
                 let figures = figures.first().map_or("$-1".into(), |it| format!("${}\r\n{it}", it.len()));
+                let said = match said.split_once('*') {
+                    Some((value, times)) => format!("${}", value[1..].repeat(times.parse().unwrap())),
+                    None => said.to_string(),
+                };
                 let answer = match said.strip_prefix('$') {
                     Some(value) => format!("*3\r\n${}\r\n{value}\r\n{figures}\r\n$-1\r\n", value.len()),
                     None => format!("{said}\r\n"),
