--- a/src/control.rs
+++ b/src/control.rs
@@ -150,15 +150,15 @@
         self.bears.thin += (f64::from(u8::from(part < arrival.units)) - self.bears.thin) * 0.02;
         self.bears.value += (self.value(&arrival) - self.bears.value) * 0.05;
         self.fleet.further = (self.fleet.further + TRY_SHARE).min(10.0);
-        let (call, timed) = (arrival.call.clone(), arrival.call.clone());
+        let (call, timed, customer) = (arrival.call.clone(), arrival.call.clone(), arrival.customer.clone());
         let last = arrival.until.saturating_sub(self.facts.span("resolution") * 2).max(now);
         self.calls.insert(call.clone(), Call::new(arrival, now, self.skipping()));
-        self.at(last, Box::new(move |c, ()| c.answer(&timed, 1.0)));
         if spent || self.crowded(&call) {
             return self.answer(&call, 1.0);
         }
-        let (asked, customer) = (call.clone(), self.calls[&call].arrival.customer.clone());
-        self.hold(&call, Box::new(move |c, hold| c.held(asked, customer, hold)));
+        // Its last moment; not for what was refused at once, which would wake a gateway in vain: most in a rush.
+        self.at(last, Box::new(move |c, ()| c.answer(&timed, 1.0)));
+        self.hold(&call.clone(), Box::new(move |c, hold| c.held(call, customer, hold)));
     }
 
     /// The first try's hold was taken or refused: only now units are charged.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -13,6 +13,7 @@
 //! wait                            moves the clock in steps of 10 ms until something is done
 //! end r1 0 proxied [units]        an upstream try ends: proxied error full silence unreachable reset
 //! gone r1                         the client has left
+//! asleep                          nothing but the periodic timer is set
 //! > count H +1                    expected, in order and complete: count, send, limit, error, cancel
 //! ```
 //!
@@ -174,6 +175,10 @@
                 return;
             }
             ["set", name, value] => return self.set(name, value),
+            ["asleep"] => {
+                let woken = self.seen.0.borrow().wakes.iter().any(|wake| wake.1 == DUE_TOKEN.0);
+                return assert!(!woken, "a wake is set");
+            }
             ["wait"] => {
                 while self.seen.0.borrow().actions.is_empty() {
                     self.go_to(self.now + Duration::from_millis(10));
