Only connections between two API calls are closed for want of sockets

Checked: the time (first second), the log (memory not short, no stop); ruled out: stuck readers, half commands.

--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -43,13 +43,18 @@
     resume: Vec<usize>,
     /// A server list is known.
     pub ready: bool,
+    /// The longest that a client waits for an answer.
+    longest_wait: Duration,
 }
 
 impl Clients {
     pub fn listen(hub: &mut Hub, at: SocketAddr) -> io::Result<Clients> {
         let mut listener = TcpListener::bind(at)?;
         hub.registry.register(&mut listener, Side::Listener.token(0), Interest::READABLE)?;
-        Ok(Clients { listener, connections: Slab::new(), waiting: false, resume: vec![], ready: false })
+        let names = hub.facts.0.keys().filter(|name| name.ends_with(".client_timeout"));
+        let longest_wait = names.map(|name| hub.facts.span(name)).max().unwrap_or_default();
+        let connections = Slab::new();
+        Ok(Clients { listener, connections, waiting: false, resume: vec![], ready: false, longest_wait })
     }
 
     pub fn len(&self) -> usize {
@@ -60,7 +65,7 @@
     pub fn accept(&mut self, hub: &mut Hub, calls: &mut Calls) {
         self.waiting = false;
         loop {
-            if self.connections.len() >= hub.budget.clients && !self.make_room(hub, calls) {
+            if !self.make_room(hub, calls) {
                 self.waiting = true;
                 return;
             }
@@ -84,11 +89,30 @@
         }
     }
 
-    /// Closes the connection that has been idle longest, if there is one.
+    /// Closes connections that have been idle longest, until there is room for one more. False if there is none.
     fn make_room(&mut self, hub: &mut Hub, calls: &mut Calls) -> bool {
-        let idle = self.connections.iter().filter(|(_, client)| client.idle());
-        let longest = idle.min_by_key(|(_, client)| client.used).map(|(key, _)| key);
-        longest.map(|key| self.close(hub, key, calls)).is_some()
+        while self.connections.len() >= hub.budget.clients {
+            let idle = self.connections.iter().filter(|(_, client)| self.idle(hub, client));
+            let Some((key, _)) = idle.min_by_key(|(_, client)| client.used) else { return false };
+            self.close_if_idle(hub, key, calls);
+        }
+        true
+    }
+
+    /// Between two API calls, as far as is seen: only then may a connection be closed. A client that has sent
+    /// nothing yet, or half a command, may just be sending; it is closed when no client would wait so long.
+    fn idle(&self, hub: &Hub, client: &Client) -> bool {
+        let between = client.first > 0 && client.pipe.input.is_empty();
+        client.quiet() && (between || client.used + self.longest_wait < hub.now)
+    }
+
+    /// Takes what has come and not been told yet; closes the connection if that is nothing.
+    fn close_if_idle(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
+        self.connections[key].pipe.drained = false;
+        self.pump(hub, key, calls);
+        if self.connections.get(key).is_some_and(|client| self.idle(hub, client)) {
+            self.close(hub, key, calls);
+        }
     }
 
     pub fn ready(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
@@ -110,10 +134,13 @@
             if client.pipe.drained {
                 return;
             }
-            client.used = hub.now;
+            let before = client.pipe.input.len();
             if !client.pipe.read(hub, resp::WHOLE) {
                 return self.close(hub, key, calls);
             }
+            if client.pipe.input.len() > before {
+                client.used = hub.now;
+            }
         }
     }
 
@@ -162,8 +189,11 @@
                 if client.held_up && moved {
                     self.resume.push(key);
                 }
-                if client.closing && client.slots.is_empty() && client.pipe.left() == 0 {
+                let quiet = client.quiet();
+                if client.closing && quiet {
                     self.close(hub, key, calls);
+                } else if self.waiting && quiet {
+                    self.accept(hub, calls);
                 }
             }
             Err(_) => self.close(hub, key, calls),
@@ -198,15 +228,18 @@
 
     /// Periodic: who does not take its answers for longer than any client waits is closed, and, when memory is
     /// short, the largest half commands of clients with nothing open; others held up get a new chance.
-    pub fn sweep(&mut self, hub: &mut Hub, calls: &mut Calls, longest: Duration) {
+    pub fn sweep(&mut self, hub: &mut Hub, calls: &mut Calls) {
+        let longest = self.longest_wait;
         let stuck = |client: &Client| client.pipe.left() > 0 && client.used + longest < hub.now;
         for key in self.keys(stuck) {
             self.close(hub, key, calls);
         }
         while hub.held > hub.budget.bytes {
-            let idle =
-                self.connections.iter().filter(|(_, client)| client.idle() && !client.pipe.input.is_empty());
-            let Some((key, _)) = idle.max_by_key(|(_, client)| client.pipe.input.len()) else { break };
+            let stalled = hub.now.saturating_sub(hub.facts.span("limits.connect_timeout"));
+            let half = self.connections.iter().filter(|(_, client)| {
+                client.quiet() && !client.pipe.input.is_empty() && client.used < stalled
+            });
+            let Some((key, _)) = half.max_by_key(|(_, client)| client.pipe.input.len()) else { break };
             slog::warn!(hub.log, "memory is short: a half command is dropped"; "held" => hub.held);
             self.close(hub, key, calls);
         }
@@ -218,11 +251,9 @@
 
     /// The gateway stops: connections with nothing open are closed, unless something has just come.
     pub fn close_idle(&mut self, hub: &mut Hub, calls: &mut Calls) {
-        for key in self.keys(Client::idle) {
-            self.connections[key].pipe.drained = false;
-            self.pump(hub, key, calls);
-            if self.connections.get(key).is_some_and(Client::idle) {
-                self.close(hub, key, calls);
+        for key in self.keys(|client| self.idle(hub, client)) {
+            if self.connections.contains(key) {
+                self.close_if_idle(hub, key, calls);
             }
         }
     }
@@ -234,7 +265,7 @@
 
 impl Client {
     /// Nothing that was taken waits for an answer.
-    fn idle(&self) -> bool {
+    fn quiet(&self) -> bool {
         self.slots.is_empty() && self.pipe.left() == 0 && !self.held_up
     }
 
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -79,8 +79,6 @@
         None => peers::Peers::default(),
     };
     let counter = counter::Counter::new(&mut hub, told.counter);
-    let waits = facts.0.keys().filter(|name| name.ends_with(".client_timeout")).map(|name| facts.span(name));
-    let longest_wait = waits.max().unwrap_or_default();
     let seed = u64::from_str_radix(&told.seed, 16)?;
     let now = hub.now;
     let world = Rc::new(RefCell::new(world::World {
@@ -93,7 +91,6 @@
         peers,
         signals,
         stopping: None,
-        longest_wait,
         seconds: 0,
         next_second: now,
     }));
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -24,8 +24,6 @@
     pub signals: Signals,
     /// Since when it is to stop.
     pub stopping: Option<Duration>,
-    /// The longest that a client waits.
-    pub longest_wait: Duration,
     /// Seconds since the start, and when the next one is due.
     pub seconds: u64,
     pub next_second: Duration,
@@ -98,7 +96,7 @@
         }
         hub.clock.follow();
         hub.report_faults();
-        clients.sweep(hub, calls, self.longest_wait);
+        clients.sweep(hub, calls);
         pool.sweep(hub);
         self.counter.sweep(hub);
     }
