A server's connections end with its life; a silent new client goes sooner when short

Read through for machines that are silent and come back: pool.rs kept idle connections when discovery told another address or a later start, so a non-idempotent API call could be lost on a connection nobody had ended. A new connection without a word is given 2 x the time to connect, no longer the longest client time-out, so that silent clients cannot keep others out for seconds. An empty known list is no list.

--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -100,10 +100,15 @@
     }
 
     /// Between two API calls, as far as is seen: only then may a connection be closed. A client that has sent
-    /// nothing yet, or half a command, may just be sending; it is closed when no client would wait so long.
+    /// nothing yet, or half a command, may just be sending: the one has as long as a connection may take to
+    /// come up, and as long again, the other until no client would wait any more.
     fn idle(&self, hub: &Hub, client: &Client) -> bool {
-        let between = client.first > 0 && client.pipe.input.is_empty();
-        client.quiet() && (between || client.used + self.longest_wait < hub.now)
+        let wait = match client.pipe.input.is_empty() {
+            true if client.first > 0 => Duration::ZERO,
+            true => hub.facts.span("limits.connect_timeout") * 2,
+            false => self.longest_wait,
+        };
+        client.quiet() && client.used + wait <= hub.now
     }
 
     /// Takes what has come and not been told yet; closes the connection if that is nothing.
--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -39,6 +39,10 @@
 pub type Lines = Vec<(Listed, Option<SocketAddr>)>;
 
 impl News {
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
     /// Discovery tells starts in Unix time, from which the gateway's clock counts as well.
     pub fn lines(self) -> (bool, Lines) {
         let line = |target: Target| {
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -98,7 +98,7 @@
     let mut control = Control::new((*facts).clone(), seed, now, Box::new(port));
     {
         let world = &mut *world.borrow_mut();
-        if let Some(known) = told.known {
+        if let Some(known) = told.known.filter(|known| !known.is_empty()) {
             world.listed(known);
         }
         if facts.text("registry_mode") != "subscribe" {
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -30,6 +30,7 @@
 struct Upstream {
     pipe: Pipe,
     server: ServerId,
+    life: u32,
     connection: Serial,
     job: Option<Job>,
     used: Duration,
@@ -37,6 +38,9 @@
 
 struct Known {
     at: SocketAddr,
+    started: Option<Duration>,
+    /// Counts its starts and moves: a connection belongs to one life of the server.
+    life: u32,
     ready: bool,
     /// Keys of connections that carry nothing, the latest used last.
     idle: Vec<usize>,
@@ -67,6 +71,7 @@
     /// The server list has told: addresses are known, and what was not begun at a server that drains or is
     /// gone is not begun any more.
     pub fn listed(&mut self, hub: &mut Hub, whole: bool, lines: Vec<(Listed, Option<SocketAddr>)>) {
+        let mut over: Vec<usize> = Vec::new();
         if whole {
             for (server, known) in &mut self.known {
                 known.ready &= lines.iter().any(|(line, _)| line.server == *server);
@@ -74,14 +79,26 @@
         }
         for (line, at) in lines {
             let ready = line.phase == Phase::Ready;
+            let started = line.started;
             match (self.known.get_mut(&line.server), at) {
-                (Some(known), at) => (known.ready, known.at) = (ready, at.unwrap_or(known.at)),
-                (None, Some(at)) => drop(self.known.insert(line.server, Known { at, ready, idle: vec![] })),
+                (Some(known), at) => {
+                    let at = at.unwrap_or(known.at);
+                    // A machine that was silent may be back without having ended its old connections.
+                    if (at, started) != (known.at, known.started) {
+                        known.life += 1;
+                        over.append(&mut known.idle);
+                    }
+                    (known.ready, known.at, known.started) = (ready, at, started);
+                }
+                (None, Some(at)) => {
+                    let known = Known { at, started, life: 0, ready, idle: vec![] };
+                    self.known.insert(line.server, known);
+                }
                 (None, None) => (),
             }
         }
         let leaving = self.known.values().filter(|known| !known.ready);
-        let mut over: Vec<usize> = leaving.flat_map(|known| known.idle.iter().copied()).collect();
+        over.extend(leaving.flat_map(|known| known.idle.iter().copied()));
         let unbegun = self.connections.iter().filter(|(_, connection)| {
             connection.job.as_ref().is_some_and(|job| !job.begun) && !self.known[&connection.server].ready
         });
@@ -108,7 +125,7 @@
         let Some(known) = self.known.get_mut(server).filter(|known| known.ready) else {
             return over(hub, Outcome::NoConnection);
         };
-        let at = known.at;
+        let (at, life) = (known.at, known.life);
         let key = match known.idle.pop() {
             Some(key) => key,
             None if !self.make_room(hub) => return over(hub, Outcome::NotSent),
@@ -124,7 +141,7 @@
                 };
                 let connection = hub.serial();
                 let (server, job) = (server.clone(), None);
-                self.connections.insert(Upstream { pipe, server, connection, job, used: now })
+                self.connections.insert(Upstream { pipe, server, life, connection, job, used: now })
             }
         };
         let upstream = &mut self.connections[key];
@@ -239,7 +256,8 @@
         let whole = job.whole;
         upstream.pipe.take(hub, took);
         (upstream.job, upstream.used) = (None, hub.now);
-        let known = self.known.get_mut(&upstream.server).filter(|known| known.ready);
+        let life = upstream.life;
+        let known = self.known.get_mut(&upstream.server).filter(|known| known.ready && known.life == life);
         match known.filter(|_| whole && upstream.pipe.input.is_empty()) {
             Some(known) => known.idle.push(key),
             None => self.close(hub, key),
