--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -1,4 +1,5 @@
-//! Clients' connections: takes their commands as they come, piped or in pieces, and answers each in its order.
+//! Clients' connections: takes their commands as they come, piped or in pieces, and answers each in its
+//! order.
 
 use crate::calls::{self, Asked, Calls, Open, Place};
 use crate::must;
@@ -89,7 +90,8 @@
         }
     }
 
-    /// Closes connections that have been idle longest, until there is room for one more. False if there is none.
+    /// Closes connections that have been idle longest, until there is room for one more. False if there is
+    /// none.
     fn make_room(&mut self, hub: &mut Hub, calls: &mut Calls) -> bool {
         while self.connections.len() >= hub.budget.clients {
             let idle = self.connections.iter().filter(|(_, client)| self.idle(hub, client));
@@ -231,8 +233,8 @@
         !keys.is_empty()
     }
 
-    /// Periodic: who does not take its answers for longer than any client waits is closed, and, when memory is
-    /// short, the largest half commands of clients with nothing open; others held up get a new chance.
+    /// Periodic: who does not take its answers for longer than any client waits is closed, and, when memory
+    /// is short, the largest half commands of clients with nothing open; others held up get a new chance.
     pub fn sweep(&mut self, hub: &mut Hub, calls: &mut Calls) {
         let longest = self.longest_wait;
         let stuck = |client: &Client| client.pipe.left() > 0 && client.used + longest < hub.now;
--- a/edge/src/counter.rs
+++ b/edge/src/counter.rs
@@ -1,5 +1,6 @@
-//! Calls to the shared counter: a few connections, calls written one behind another, a name always on the same
-//! one, so that its answers come in order. What comes after its time-out was told is matched off and dropped.
+//! Calls to the shared counter: a few connections, calls written one behind another, a name always on the
+//! same one, so that its answers come in order. What comes after its time-out was told is matched off and
+//! dropped.
 
 use crate::must;
 use crate::pipe::Pipe;
--- a/edge/src/pipe.rs
+++ b/edge/src/pipe.rs
@@ -83,8 +83,8 @@
         Ok(moved)
     }
 
-    /// Reads what has come, as long as the input holds less than `most`. False once the other side has ended or
-    /// the connection broke.
+    /// Reads what has come, as long as the input holds less than `most`. False once the other side has ended
+    /// or the connection broke.
     pub fn read(&mut self, hub: &mut Hub, most: usize) -> bool {
         while self.input.len() < most {
             let room = hub.scratch.len().min(most - self.input.len());
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -1,6 +1,6 @@
-//! Connections to app servers: one upstream try at a time on each, the latest used first, closed before the app
-//! server would. Whether the last byte of a command was written decides if it may have run; nothing is sent
-//! again from here.
+//! Connections to app servers: one upstream try at a time on each, the latest used first, closed before the
+//! app server would. Whether the last byte of a command was written decides if it may have run; nothing is
+//! sent again from here.
 
 use crate::calls::{Asked, Calls};
 use crate::clients::Clients;
--- a/edge/src/turn.rs
+++ b/edge/src/turn.rs
@@ -1,5 +1,6 @@
 //! The loop: one poll a turn, one ordered structure of due times, and what the sides share. What comes in is
-//! put in line as [`News`] for the decisions; what they ask for is done at once, and written when the turn ends.
+//! put in line as [`News`] for the decisions; what they ask for is done at once, and written when the turn
+//! ends.
 
 use crate::budget::Budget;
 use crate::clock::Clock;
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -1,5 +1,5 @@
-//! All that one gateway owns beside its decisions: the sides, the open API calls and the hub they share. Tells
-//! each event of the poll and each due time to the side that it belongs to.
+//! All that one gateway owns beside its decisions: the sides, the open API calls and the hub they share.
+//! Tells each event of the poll and each due time to the side that it belongs to.
 
 use crate::calls::Calls;
 use crate::clients::Clients;
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -3,8 +3,7 @@
 //!
 //! ```text
 //! limits 64 40                    memory in MB and sockets, before the node starts (else 192 and 1024)
-//! server a b                      app servers that listen; 'refuse a' stops one listening, 'deaf a' has it
-//!                                 read nothing from now on
+//! server a b                      app servers that listen, at a new address each time; 'refuse a' stops one
 //! node                            starts the node, which knows the servers so far
 //! list a! b- c                    discovery tells: a drains, b is gone, c is there
 //! ask c1 r1 read capped 9000 [N]  client c1 sends API call r1: route, plan, milliseconds to wait, size of a body
@@ -23,6 +22,9 @@
 //! times 20 STEPS                  the steps, parted by ';', so many times, with '%' the number of the time
 //! ```
 
+#[path = "../../tests/plays/mod.rs"]
+mod plays;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -138,7 +140,6 @@
 struct Server {
     at: String,
     on: Arc<AtomicBool>,
-    deaf: Arc<AtomicBool>,
 }
 
 #[derive(Default)]
@@ -161,8 +162,7 @@
 impl Stage {
     fn server(&mut self, name: &str) {
         let (sender, streams) = (self.seen.get_or_insert_with(channel).0.clone(), self.streams.clone());
-        let (server, deaf) = (name.to_string(), Arc::new(AtomicBool::new(false)));
-        let closed = deaf.clone();
+        let server = name.to_string();
         let serve = move |socket: TcpStream| {
             let connection = {
                 let mut streams = streams.lock().unwrap();
@@ -171,9 +171,6 @@
             };
             let mut input = BufReader::new(socket);
             loop {
-                while closed.load(Ordering::SeqCst) {
-                    sleep(Duration::from_millis(5));
-                }
                 let words = line(&mut input).and_then(|head| {
                     let count = head.strip_prefix('*')?.parse().ok()?;
                     (0..count).map(|_| line(&mut input).and_then(|head| bulk(&mut input, &head))).collect()
@@ -188,7 +185,7 @@
         };
         let (at, on) = listen(serve);
         self.tell(name, &at, "active");
-        self.servers.insert(name.to_string(), Server { at, on, deaf });
+        self.servers.insert(name.to_string(), Server { at, on });
     }
 
     fn tell(&mut self, name: &str, at: &str, state: &str) {
@@ -270,8 +267,6 @@
                 let _ = TcpStream::connect(&self.servers[name].at);
                 self.until(|stage| TcpStream::connect(&stage.servers[name].at).is_err().then_some(()));
             }
-            ["deaf", name] => self.servers[name].deaf.store(true, Ordering::SeqCst),
-            ["node"] => panic!("started by the runner"),
             ["list", ref names @ ..] => {
                 for name in names {
                     let state = match name.chars().last() {
@@ -386,27 +381,9 @@
 
 #[test]
 fn every_scenario() {
-    let folder = std::fs::read_dir("tests/scenarios").expect("the folder");
-    let mut files: Vec<_> = folder.map(|file| file.unwrap().path()).collect();
-    files.retain(|path| path.extension().is_some_and(|kind| kind == "txt"));
-    files.sort();
-    assert!(!files.is_empty(), "no scenario found");
-    let mut failed = Vec::new();
-    for path in files {
-        let mut stage = Stage::default();
-        let text = std::fs::read_to_string(&path).expect("a scenario");
-        let lines =
-            text.lines().enumerate().map(|(place, line)| (place, line.split('#').next().unwrap().trim()));
-        for (place, step) in lines.filter(|(_, step)| !step.is_empty()) {
-            let play = std::panic::AssertUnwindSafe(|| match step {
-                "node" => stage.start(&path.file_stem().unwrap().to_string_lossy()),
-                step => stage.step(step),
-            });
-            if std::panic::catch_unwind(play).is_err() {
-                failed.push(format!("{}:{}: {step}", path.display(), place + 1));
-                break;
-            }
-        }
-    }
-    assert!(failed.is_empty(), "\n{}", failed.join("\n"));
+    plays::every_scenario(|stage: &mut Stage, path, step| match step {
+        "node" => stage.start(&path.file_stem().unwrap().to_string_lossy()),
+        "end" => (),
+        step => stage.step(step),
+    });
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -156,7 +156,7 @@
         if spent || self.crowded(&call) {
             return self.answer(&call, 1.0);
         }
-        // Its last moment; not for what was refused at once, which would wake a gateway in vain: most in a rush.
+        // Its last moment. What is refused at once needs none, and would wake a gateway in vain.
         self.at(last, Box::new(move |c, ()| c.answer(&timed, 1.0)));
         self.hold(&call.clone(), Box::new(move |c, hold| c.held(call, customer, hold)));
     }
--- a/src/port.rs
+++ b/src/port.rs
@@ -33,8 +33,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct WakeToken(pub u64);
 
-/// The one periodic timer of an instance, on which a carrier may hang periodic work of its own; all that is due
-/// at other times.
+/// The one periodic timer of an instance, on which a carrier may hang periodic work of its own; all that is
+/// due at other times.
 pub const TICK_TOKEN: WakeToken = WakeToken(1);
 pub const DUE_TOKEN: WakeToken = WakeToken(2);
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -19,6 +19,8 @@
 //!
 //! A label is bound to a counter name where it is first seen; `send r1 *` takes any server.
 
+mod plays;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
@@ -246,30 +248,15 @@
 
 #[test]
 fn every_scenario() {
-    let mut files: Vec<_> =
-        std::fs::read_dir("tests/scenarios").expect("the folder").map(|f| f.unwrap().path()).collect();
-    files.retain(|path| path.extension().is_some_and(|kind| kind == "txt"));
-    files.sort();
-    assert!(!files.is_empty(), "no scenario found");
-    let mut failed = Vec::new();
-    for path in files {
-        let mut stage = Stage::default();
-        let text = std::fs::read_to_string(&path).expect("a scenario");
-        let lines: Vec<_> = text.lines().map(|line| line.split('#').next().unwrap_or("").trim()).collect();
-        for (place, line) in lines.iter().enumerate().filter(|(_, line)| !line.is_empty()) {
-            let play = std::panic::AssertUnwindSafe(|| {
-                for step in line.split(';') {
-                    stage.step(&step.split_whitespace().collect::<Vec<&str>>());
-                }
-            });
-            if std::panic::catch_unwind(play).is_err() {
-                failed.push(format!("{}:{}: {line}", path.display(), place + 1));
-                break;
-            }
+    plays::every_scenario(|stage: &mut Stage, _, line| match line {
+        "end" => {
+            let seen = &stage.seen.0.borrow().actions;
+            assert!(seen.is_empty(), "left over: {seen:?}");
         }
-        if !stage.seen.0.borrow().actions.is_empty() {
-            failed.push(format!("{}: left over: {:?}", path.display(), stage.seen.0.borrow().actions));
+        line => {
+            for step in line.split(';') {
+                stage.step(&step.split_whitespace().collect::<Vec<&str>>());
+            }
         }
-    }
-    assert!(failed.is_empty(), "\n{}", failed.join("\n"));
+    });
 }
