--- a/src/port.rs
+++ b/src/port.rs
@@ -1,5 +1,5 @@
-//! The interface between the decisions and whatever carries them: today the drill on the simulator's wire,
-//! later a socket edge node, an external processor, external authorisation or plan-and-apply files.
+//! The interface between the decisions and whatever carries them: the edge node on sockets, the drill on the
+//! simulator's wire, later an external processor, external authorisation or plan-and-apply files.
 //! A carrier turns its protocol's events into calls on [`crate::control::Control`] and implements [`Port`].
 //! All times are spans since the start of the carrier's clock.
 
