A wrong count of held bytes is counted and cannot stop the node

Read through: held was subtracted from in six places, and one subtraction too many would have wrapped in release and had no API call taken any more.

--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -211,7 +211,7 @@
     fn close(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
         let Some(client) = self.connections.try_remove(key) else { return };
         for slot in client.slots {
-            hub.held -= slot.answer.map_or(0, |answer| answer.len());
+            hub.freed(slot.answer.map_or(0, |answer| answer.len()));
             if let Some(call) = slot.call.map(calls::id).filter(|call| calls.is_open(call)) {
                 hub.news.push_back(News::Gone(call));
             }
@@ -349,7 +349,7 @@
         self.slots.pop_front();
         self.first += 1;
         while let Some(answer) = self.slots.front_mut().and_then(|slot| slot.answer.take()) {
-            hub.held -= answer.len();
+            hub.freed(answer.len());
             self.pipe.put(hub, |out| out.extend_from_slice(&answer));
             self.slots.pop_front();
             self.first += 1;
--- a/edge/src/pipe.rs
+++ b/edge/src/pipe.rs
@@ -76,7 +76,7 @@
         let moved = self.done > before;
         self.up |= moved;
         if self.left() == 0 {
-            hub.held -= self.output.len();
+            hub.freed(self.output.len());
             shrink(&mut self.output);
             self.done = 0;
         }
@@ -115,7 +115,7 @@
 
     /// Takes bytes off the front of the input.
     pub fn take(&mut self, hub: &mut Hub, count: usize) {
-        hub.held -= count;
+        hub.freed(count);
         if count == self.input.len() {
             shrink(&mut self.input);
         } else {
@@ -135,7 +135,7 @@
     }
 
     pub fn close(mut self, hub: &mut Hub) {
-        hub.held -= self.input.len() + self.output.len();
+        hub.freed(self.input.len() + self.output.len());
         let _ = hub.registry.deregister(&mut self.socket);
     }
 }
--- a/edge/src/turn.rs
+++ b/edge/src/turn.rs
@@ -140,6 +140,12 @@
         Some(first.remove())
     }
 
+    /// Bytes are held no longer. A wrong count must not come out as a memory that is full for ever.
+    pub fn freed(&mut self, bytes: usize) {
+        must!(self, bytes <= self.held, "no more is freed than is held");
+        self.held = self.held.saturating_sub(bytes);
+    }
+
     /// Something that must hold did not.
     pub fn broken(&mut self, what: &'static str) {
         *self.faults.entry(what).or_default() += 1;
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -162,7 +162,7 @@
     /// The API call is over and the decisions know.
     pub fn forget(&mut self, call: &CallId) {
         if let Some(open) = self.calls.remove(call) {
-            self.hub.held -= open.asked.size();
+            self.hub.freed(open.asked.size());
         }
     }
 }
