Discovery that answers watches at once is asked at the tick; refetch asks at once

Read through: discovery.rs asked again at once after any answer, so an agent that does not wait would have kept the node busy; and a refetch while a watch was out was forgotten when its answer came.

--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -76,6 +76,7 @@
     /// When the call that is out should be answered at the latest, or a new connection is due.
     patience: Duration,
     asking: bool,
+    asked: Duration,
     /// Calls in a row that went unanswered: each has the next one wait longer.
     silent: u32,
 }
@@ -91,6 +92,7 @@
             rev: None,
             patience: Duration::ZERO,
             asking: false,
+            asked: Duration::ZERO,
             silent: 0,
         }
     }
@@ -103,12 +105,10 @@
         }
     }
 
-    /// The next call asks for the whole list.
+    /// Asks for the whole list now, in place of the watch that is out.
     pub fn refetch(&mut self, hub: &mut Hub) {
-        self.rev = None;
-        if !self.asking {
-            self.follow(hub, true);
-        }
+        self.wanted = true;
+        self.connect(hub);
     }
 
     fn connect(&mut self, hub: &mut Hub) {
@@ -133,10 +133,9 @@
         }
     }
 
-    /// A watch may be silent for half the time within which the rules want the list asked for.
     fn ask(&mut self, hub: &mut Hub) {
         let Some(pipe) = &mut self.pipe else { return };
-        let wait = hub.facts.span("rules.ask_within") / 2;
+        let wait = watch(hub);
         let query = match self.rev {
             Some(rev) => format!("?after={rev}&wait_ms={}", wait.as_millis()),
             None => String::new(),
@@ -146,7 +145,7 @@
         pipe.put(hub, |out| out.extend_from_slice(call.as_bytes()));
         let wait = if self.rev.is_some() { wait } else { Duration::ZERO };
         self.patience = hub.now + wait + self.answer_time(hub);
-        self.asking = true;
+        (self.asking, self.asked) = (true, hub.now);
     }
 
     /// Says what has come, if a whole answer has.
@@ -178,8 +177,11 @@
         };
         if !open {
             self.drop_connection(hub);
-        } else if news.is_some() && self.wanted {
-            self.ask(hub);
+        } else if let Some(news) = news.as_ref().filter(|_| self.wanted) {
+            // Nothing new and too soon: it does not wait, and is asked at the next tick instead of all the time.
+            if !news.is_empty() || hub.now >= self.asked + watch(hub) / 2 {
+                self.ask(hub);
+            }
         }
         news
     }
@@ -193,6 +195,9 @@
 
     /// Periodic: a new connection where there is none, or where the old one is silent for too long.
     pub fn sweep(&mut self, hub: &mut Hub) {
+        if self.wanted && !self.asking && self.pipe.is_some() {
+            return self.ask(hub);
+        }
         if self.wanted && hub.now >= self.patience {
             if self.silent == 0 {
                 slog::warn!(hub.log, "discovery is silent, connecting anew");
@@ -203,6 +208,11 @@
     }
 }
 
+/// A watch may be silent for half the time within which the rules want the list asked for.
+fn watch(hub: &Hub) -> Duration {
+    hub.facts.span("rules.ask_within") / 2
+}
+
 /// Takes a whole HTTP answer off the front: its list, and the bytes that it took.
 fn answer(bytes: &[u8]) -> Result<Option<(News, usize)>, String> {
     let mut headers = [httparse::EMPTY_HEADER; 32];
