A network that cannot be reached is no connection, not a want of sockets

Read through: pool.rs told only a refused connection from the gateway's own want, so a server cut off at once would have earned no distrust.

--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -133,11 +133,13 @@
                 let key = self.connections.vacant_key();
                 let pipe = match Pipe::connect(hub, at, Side::Upstream, key) {
                     Ok(pipe) => pipe,
-                    Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                        return over(hub, Outcome::NoConnection)
+                    Err(error) => {
+                        use io::ErrorKind::{ConnectionRefused, HostUnreachable, NetworkUnreachable};
+                        let theirs = [ConnectionRefused, HostUnreachable, NetworkUnreachable];
+                        // Else no descriptor, no port: the gateway's own want.
+                        let theirs = theirs.contains(&error.kind());
+                        return over(hub, if theirs { Outcome::NoConnection } else { Outcome::NotSent });
                     }
-                    // No descriptor, no port: the gateway's own want.
-                    Err(_) => return over(hub, Outcome::NotSent),
                 };
                 let connection = hub.serial();
                 let (server, job) = (server.clone(), None);
