An idle client connection is closed only when another one waits

At fault: clients.rs, accept, which made room before it knew that anybody waited, so at the limit each look closed a connection.

--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -66,7 +66,10 @@
     pub fn accept(&mut self, hub: &mut Hub, calls: &mut Calls) {
         self.waiting = false;
         loop {
-            if !self.make_room(hub, calls) {
+            // What goes for a new connection is closed only when there is one.
+            let full = |clients: &Clients, hub: &Hub| clients.connections.len() >= hub.budget.clients;
+            let oldest = if full(self, hub) { self.idle_longest(hub, calls) } else { None };
+            if oldest.is_none() && full(self, hub) {
                 self.waiting = true;
                 return;
             }
@@ -81,6 +84,9 @@
                     return;
                 }
             };
+            if let Some(key) = oldest {
+                self.close(hub, key, calls);
+            }
             let key = self.connections.vacant_key();
             if let Ok(pipe) = Pipe::accepted(hub, socket, Side::Client, key) {
                 let (connection, used) = (hub.serial(), hub.now);
@@ -90,15 +96,15 @@
         }
     }
 
-    /// Closes connections that have been idle longest, until there is room for one more. False if there is
-    /// none.
-    fn make_room(&mut self, hub: &mut Hub, calls: &mut Calls) -> bool {
-        while self.connections.len() >= hub.budget.clients {
+    /// The connection that has been idle longest, if any is.
+    fn idle_longest(&mut self, hub: &mut Hub, calls: &mut Calls) -> Option<usize> {
+        loop {
             let idle = self.connections.iter().filter(|(_, client)| self.idle(hub, client));
-            let Some((key, _)) = idle.min_by_key(|(_, client)| client.used) else { return false };
-            self.close_if_idle(hub, key, calls);
+            let (key, _) = idle.min_by_key(|(_, client)| client.used)?;
+            if self.stays_idle(hub, key, calls) {
+                return Some(key);
+            }
         }
-        true
     }
 
     /// Between two API calls, as far as is seen: only then may a connection be closed. A client that has sent
@@ -113,13 +119,11 @@
         client.quiet() && client.used + wait <= hub.now
     }
 
-    /// Takes what has come and not been told yet; closes the connection if that is nothing.
-    fn close_if_idle(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
+    /// Takes what has come and not been told yet; says whether that was nothing.
+    fn stays_idle(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) -> bool {
         self.connections[key].pipe.drained = false;
         self.pump(hub, key, calls);
-        if self.connections.get(key).is_some_and(|client| self.idle(hub, client)) {
-            self.close(hub, key, calls);
-        }
+        self.connections.get(key).is_some_and(|client| self.idle(hub, client))
     }
 
     pub fn ready(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
@@ -259,8 +263,8 @@
     /// The gateway stops: connections with nothing open are closed, unless something has just come.
     pub fn close_idle(&mut self, hub: &mut Hub, calls: &mut Calls) {
         for key in self.keys(|client| self.idle(hub, client)) {
-            if self.connections.contains(key) {
-                self.close_if_idle(hub, key, calls);
+            if self.connections.contains(key) && self.stays_idle(hub, key, calls) {
+                self.close(hub, key, calls);
             }
         }
     }
