One place where a try stops being out, one for a slot, one for the time a stop takes

Found by reading the whole change once more: pool.rs told a try's end in two ways and closed after each by hand, clients.rs made a slot and its number twice, world.rs worked out the time before a stop twice.

--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -280,11 +280,16 @@
         self.slots.is_empty() && self.pipe.left() == 0 && !self.held_up
     }
 
+    /// A new command's place in the order; says its number.
+    fn slot(&mut self) -> u64 {
+        self.slots.push_back(Slot { call: None, answer: None });
+        self.first + self.slots.len() as u64 - 1
+    }
+
     /// After what is no RESP2 nothing can be read any more: an error in its turn, then the end.
     fn malformed(&mut self, hub: &mut Hub, why: &str) {
         self.closing = true;
-        let number = self.first + self.slots.len() as u64;
-        self.slots.push_back(Slot { call: None, answer: None });
+        let number = self.slot();
         self.answer(hub, number, |out| {
             out.extend_from_slice(format!("-ERR Protocol error: {why}\r\n").as_bytes());
         });
@@ -300,8 +305,7 @@
         calls: &mut Calls,
         ready: bool,
     ) {
-        let number = self.first + self.slots.len() as u64;
-        self.slots.push_back(Slot { call: None, answer: None });
+        let number = self.slot();
         let bytes = &self.pipe.input[..took];
         let word = |place: usize| words.get(place).map_or(&[][..], |word| &bytes[word.clone()]);
         let said = match word(0).to_ascii_uppercase().as_slice() {
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -170,7 +170,6 @@
     pub fn cancel(&mut self, hub: &mut Hub, call: &CallId, number: TryNumber) {
         if let Some(key) = self.out.get(&(call.clone(), number)).copied() {
             self.end(hub, key, Outcome::Cancelled);
-            self.close(hub, key);
         }
     }
 
@@ -187,7 +186,6 @@
         }
         let outcome = if job.whole { Outcome::TimedOut } else { Outcome::NoConnection };
         self.end(hub, key, outcome);
-        self.close(hub, key);
     }
 
     pub fn ready(
@@ -250,17 +248,17 @@
             }
         }
         let load = resp::pairs(load).filter_map(|(name, value)| Some((name.into(), value.parse().ok()?)));
-        let (load, latency) = (load.collect(), hub.now.saturating_sub(job.sent));
+        let load = load.collect();
+        let Some(job) = self.take_job(hub, key) else { return };
+        let latency = hub.now.saturating_sub(job.sent);
         let end = Ended { outcome, latency, closed: false, settled, load };
-        hub.news.push_back(News::Ended(job.call.clone(), job.number, end));
-        self.out.remove(&(job.call.clone(), job.number));
-        hub.unset(job.due);
-        let whole = job.whole;
+        hub.news.push_back(News::Ended(job.call, job.number, end));
+        let upstream = &mut self.connections[key];
         upstream.pipe.take(hub, took);
-        (upstream.job, upstream.used) = (None, hub.now);
+        upstream.used = hub.now;
         let life = upstream.life;
         let known = self.known.get_mut(&upstream.server).filter(|known| known.ready && known.life == life);
-        match known.filter(|_| whole && upstream.pipe.input.is_empty()) {
+        match known.filter(|_| job.whole && upstream.pipe.input.is_empty()) {
             Some(known) => known.idle.push(key),
             None => self.close(hub, key),
         }
@@ -284,15 +282,22 @@
     fn fail(&mut self, hub: &mut Hub, key: usize) {
         let whole = self.connections[key].job.as_ref().is_some_and(|job| job.whole);
         self.end(hub, key, if whole { Outcome::Broken } else { Outcome::NoConnection });
-        self.close(hub, key);
     }
 
+    /// Ends the try that a connection carries, if any, and the connection with it.
     fn end(&mut self, hub: &mut Hub, key: usize, outcome: Outcome) {
-        if let Some(job) = self.connections[key].job.take() {
-            hub.unset(job.due);
-            self.out.remove(&(job.call.clone(), job.number));
+        if let Some(job) = self.take_job(hub, key) {
             ended(hub, job.call, job.number, outcome, job.sent);
         }
+        self.close(hub, key);
+    }
+
+    /// The try is no longer out.
+    fn take_job(&mut self, hub: &mut Hub, key: usize) -> Option<Job> {
+        let job = self.connections[key].job.take()?;
+        hub.unset(job.due);
+        self.out.remove(&(job.call.clone(), job.number));
+        Some(job)
     }
 
     fn close(&mut self, hub: &mut Hub, key: usize) {
--- a/edge/src/turn.rs
+++ b/edge/src/turn.rs
@@ -4,7 +4,6 @@
 
 use crate::budget::Budget;
 use crate::clock::Clock;
-use crate::peers::Peers;
 use crate::tally::Tally;
 use crate::world::World;
 use mio::{Events, Poll, Registry, Token};
@@ -278,7 +277,7 @@
         pool.release(hub, server);
     }
     fn tell(&mut self, peer: Option<u32>, body: &[u8]) {
-        Peers::tell(&self.0.borrow().peers, peer, body);
+        self.0.borrow().peers.tell(peer, body);
     }
     fn log(&mut self, text: &str) {
         slog::info!(self.0.borrow().hub.log, "{}", text);
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -77,14 +77,18 @@
         }
     }
 
+    /// Told to stop, and others have had the time to connect and to notice; until then all goes on as before.
+    fn leaving(&self) -> bool {
+        let time = self.hub.facts.span("limits.connect_timeout") * 2;
+        self.stopping.is_some_and(|since| since + time < self.hub.now)
+    }
+
     /// What is done now and then; hangs on the decisions' one periodic timer.
     fn sweep(&mut self) {
+        let leaving = self.leaving();
         let World { hub, calls, clients, pool, .. } = self;
-        if let Some(since) = self.stopping {
-            // For as long as it takes others to connect and to notice, all goes on as before.
-            if since + hub.facts.span("limits.connect_timeout") * 2 < hub.now {
-                clients.close_idle(hub, calls);
-            }
+        if leaving {
+            clients.close_idle(hub, calls);
         }
         self.discovery.sweep(hub);
         if hub.now < self.next_second {
@@ -103,9 +107,8 @@
 
     /// Told to stop, and nobody is left to answer.
     pub fn finished(&mut self) -> bool {
-        let Some(since) = self.stopping else { return false };
         let quiet = self.clients.len() == 0 && self.calls.len() == 0 && self.counter.quiet();
-        if !quiet || since + self.hub.facts.span("limits.connect_timeout") * 2 >= self.hub.now {
+        if !quiet || !self.leaving() {
             return false;
         }
         // Who has connected since the last look is still answered.
