SIGHUP: the file is read again, discovery and counter are followed, nothing taken is lost

Now the file is read again; a bad one is logged and the old one stays. Discovery is asked for the whole list at the new address; each line to the counter gets a successor, whose answers are heard once the old one owes none, so a name's answers keep their order (Control matches them first in, first out). A broken watch is also followed by a new connection after a connection's time; it waited for the watch's own end.

--- a/edge/src/counter.rs
+++ b/edge/src/counter.rs
@@ -1,6 +1,6 @@
 //! Calls to the shared counter: a few connections, calls written one behind another, a name always on the
 //! same one, so that its answers come in order. What comes after its time-out was told is matched off and
-//! dropped.
+//! dropped. Where the counter moves, each line has a successor, which is heard once the old one owes no answer.
 
 use crate::must;
 use crate::pipe::Pipe;
@@ -34,7 +34,10 @@
 
 pub struct Counter {
     at: Option<SocketAddr>,
+    /// Two halves: the lines in use, and those to where the counter was before.
     lines: Vec<Line>,
+    /// Where the half in use begins.
+    base: usize,
 }
 
 fn counted(hub: &mut Hub, name: CounterName, counted: Counted) {
@@ -43,14 +46,52 @@
 
 impl Counter {
     pub fn new(hub: &mut Hub, at: Option<SocketAddr>) -> Counter {
-        let lines = (0..hub.budget.counter).map(|_| Line::default()).collect();
-        let mut counter = Counter { at, lines };
-        for place in 0..counter.lines.len() {
-            counter.connect(hub, place);
-        }
+        let lines = (0..hub.budget.counter * 2).map(|_| Line::default()).collect();
+        let mut counter = Counter { at: None, lines, base: 0 };
+        counter.move_to(hub, at);
         counter
     }
 
+    /// The counter is elsewhere from now on. What was asked before is still answered on the old lines.
+    pub fn move_to(&mut self, hub: &mut Hub, at: Option<SocketAddr>) {
+        if at == self.at {
+            return;
+        }
+        (self.at, self.base) = (at, self.half() - self.base);
+        for place in self.base..self.base + self.half() {
+            self.end(hub, place);
+            self.connect(hub, place);
+            self.retire(hub, self.twin(place));
+        }
+    }
+
+    fn half(&self) -> usize {
+        self.lines.len() / 2
+    }
+
+    /// The place of the same line in the other half.
+    fn twin(&self, place: usize) -> usize {
+        (place + self.half()) % self.lines.len()
+    }
+
+    fn in_use(&self, place: usize) -> bool {
+        (self.base..self.base + self.half()).contains(&place)
+    }
+
+    /// An old line that owes no answer any more is closed, and its successor is heard.
+    fn retire(&mut self, hub: &mut Hub, place: usize) {
+        if self.lines[place].owes() || self.in_use(place) {
+            return;
+        }
+        if let Some(pipe) = std::mem::take(&mut self.lines[place]).pipe {
+            pipe.close(hub);
+        }
+        let next = self.twin(place);
+        if !self.answered(hub, next) {
+            self.end(hub, next);
+        }
+    }
+
     fn connect(&mut self, hub: &mut Hub, place: usize) {
         let Some(at) = self.at else { return };
         let pipe = Pipe::connect(hub, at, Side::Counter, place).ok();
@@ -58,7 +99,7 @@
     }
 
     pub fn count(&mut self, hub: &mut Hub, name: CounterName, add: f64, keep: Duration) {
-        let place = (name.0 % self.lines.len() as u64) as usize;
+        let place = self.base + (name.0 % self.half() as u64) as usize;
         let limit = hub.facts.span("counter.counter_timeout");
         // A connection on which calls wait, and nothing has come for longer than a new one and a call on it
         // would take, may belong to a machine that is gone without a word.
@@ -91,6 +132,7 @@
         if let Some(name) = call.name.take() {
             counted(hub, name, Counted::Unsure);
         }
+        self.retire(hub, place);
     }
 
     pub fn ready(&mut self, hub: &mut Hub, place: usize, event: &Event) {
@@ -109,14 +151,20 @@
             if !self.answered(hub, place) || !open {
                 return self.end(hub, place);
             }
-            if more {
+            self.retire(hub, place);
+            let room = |pipe: &Pipe| pipe.input.len() < hub.scratch.len();
+            if more && self.lines[place].pipe.as_ref().is_some_and(room) {
                 self.ready(hub, place, event);
             }
         }
     }
 
-    /// Hands each answer that has come to the call that waits for it. False if there is none that does.
+    /// Hands each answer that has come to the call that waits for it. False if there is none that does. What
+    /// the line before it still owes comes first: the answers of a name keep their order.
     fn answered(&mut self, hub: &mut Hub, place: usize) -> bool {
+        if self.in_use(place) && self.lines[self.twin(place)].owes() {
+            return true;
+        }
         let line = &mut self.lines[place];
         let Some(pipe) = &mut line.pipe else { return true };
         let mut took = 0;
@@ -164,6 +212,7 @@
         if let Some(pipe) = line.pipe {
             pipe.close(hub);
         }
+        self.retire(hub, place);
     }
 
     /// Once a second: a connection on which nothing waits is kept open by a ping, which costs nothing.
@@ -178,11 +227,16 @@
 
     /// Nothing waits for the counter but what it was told in vain.
     pub fn quiet(&self) -> bool {
-        self.lines.iter().all(|line| line.waiting.iter().all(|call| call.name.is_none()))
+        self.lines.iter().all(|line| !line.owes())
     }
 }
 
 impl Line {
+    /// A call waits whose answer the decisions were not told yet.
+    fn owes(&self) -> bool {
+        self.waiting.iter().any(|call| call.name.is_some())
+    }
+
     fn written(&self) -> usize {
         self.put - self.pipe.as_ref().map_or(0, Pipe::left)
     }
--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -97,6 +97,17 @@
         }
     }
 
+    /// Discovery is elsewhere from now on: the list is followed there.
+    pub fn move_to(&mut self, hub: &mut Hub, at: SocketAddr) {
+        if at != self.at {
+            (self.at, self.host, self.silent) = (at, at.to_string(), 0);
+            self.drop_connection(hub);
+            if self.wanted {
+                self.connect(hub);
+            }
+        }
+    }
+
     /// Begins or ends following the list.
     pub fn follow(&mut self, hub: &mut Hub, on: bool) {
         self.wanted = on;
@@ -126,8 +137,10 @@
         hub.facts.span("limits.connect_timeout") * (1 << self.silent.min(4))
     }
 
+    /// The connection is over. A new one is due soon, not only when a watch on the old one would have ended.
     fn drop_connection(&mut self, hub: &mut Hub) {
         self.asking = false;
+        self.patience = self.patience.min(hub.now + self.answer_time(hub));
         if let Some(pipe) = self.pipe.take() {
             pipe.close(hub);
         }
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -18,7 +18,7 @@
 use mio::{Interest, Poll};
 use serde::Deserialize;
 use serde_json::Value;
-use signal_hook::consts::SIGTERM;
+use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use slog::{Drain, Logger};
 use std::cell::RefCell;
@@ -28,19 +28,19 @@
 use std::sync::Mutex;
 use wellcrank::control::Control;
 
-/// What a gateway is told when it starts.
+/// What a gateway is told when it starts, and on SIGHUP again; from then on where others are counts.
 #[derive(Deserialize)]
-struct Told {
+pub struct Told {
     name: String,
     listen: SocketAddr,
-    discovery: SocketAddr,
+    pub discovery: SocketAddr,
     seed: String,
     limits: Limits,
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
     peers: Vec<SocketAddr>,
     peers_all: Option<SocketAddr>,
-    counter: Option<SocketAddr>,
+    pub counter: Option<SocketAddr>,
     known: Option<discovery::News>,
     settings: Value,
 }
@@ -51,7 +51,7 @@
     sockets: usize,
 }
 
-fn told() -> Result<Told, Box<dyn Error>> {
+pub fn told() -> Result<Told, Box<dyn Error>> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG names no file")?;
     let text = std::fs::read(&path).map_err(|error| format!("{path}: {error}"))?;
     Ok(serde_json::from_slice(&text).map_err(|error| format!("{path}: {error}"))?)
@@ -68,7 +68,7 @@
 fn serve(told: Told, log: &Logger) -> Result<(), Box<dyn Error>> {
     let facts = Rc::new(wellcrank_words::facts(&told.settings));
     let mut poll = Poll::new()?;
-    let mut signals = Signals::new([SIGTERM])?;
+    let mut signals = Signals::new([SIGTERM, SIGHUP])?;
     let registry = poll.registry().try_clone()?;
     registry.register(&mut signals, turn::Side::Signal.token(0), Interest::READABLE)?;
     let budget = budget::Budget::new(told.limits.sockets, told.limits.memory_mb);
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -9,6 +9,7 @@
 use crate::pool::Pool;
 use crate::turn::{Due, Hub, News, Side};
 use mio::event::Event;
+use signal_hook::consts::SIGHUP;
 use signal_hook_mio::v1_0::Signals;
 use std::time::Duration;
 use wellcrank::port::*;
@@ -44,9 +45,13 @@
             }
             (Side::Peers, _) => self.peers.ready(hub),
             (Side::Signal, _) => {
-                if self.signals.pending().count() > 0 && self.stopping.is_none() {
-                    slog::info!(hub.log, "stopping: still answering"; "open" => calls.len());
-                    self.stopping = Some(hub.now);
+                for signal in self.signals.pending() {
+                    if signal == SIGHUP {
+                        reread(hub, &mut self.counter, &mut self.discovery);
+                    } else if self.stopping.is_none() {
+                        slog::info!(hub.log, "stopping: still answering"; "open" => calls.len());
+                        self.stopping = Some(hub.now);
+                    }
                 }
             }
         }
@@ -169,3 +174,15 @@
         }
     }
 }
+
+/// SIGHUP: the file is read again and followed where it says that others are; a bad one changes nothing.
+fn reread(hub: &mut Hub, counter: &mut Counter, discovery: &mut Discovery) {
+    match crate::told() {
+        Ok(told) => {
+            slog::info!(hub.log, "file read again"; "discovery" => %told.discovery, "counter" => ?told.counter);
+            discovery.move_to(hub, told.discovery);
+            counter.move_to(hub, told.counter);
+        }
+        Err(why) => slog::warn!(hub.log, "file not read again, the old one stays"; "why" => %why),
+    }
+}
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -18,6 +18,8 @@
 //! leave c1                        client c1 closes its connection
 //! counter silent|busy|answers     how the counter is from now on; 'counter cut' breaks its connections
 //! even                            in time, the holds counted in the newest period's name are all taken off again
+//! moved                           the file names another counter and discovery, SIGHUP, the old ones are cut off
+//! unreadable                      the file is none any more, SIGHUP
 //! stop; gone                      SIGTERM; the node has ended by itself and well
 //! times 20 STEPS                  the steps, parted by ';', so many times, with '%' the number of the time
 //! ```
@@ -28,6 +30,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -79,7 +82,7 @@
     open: Vec<TcpStream>,
 }
 
-fn counter(state: Arc<Mutex<Counter>>) -> String {
+fn counter(state: Arc<Mutex<Counter>>) -> (String, Arc<AtomicBool>) {
     let serve = move |socket: TcpStream| {
         let mut out = socket.try_clone().unwrap();
         state.lock().unwrap().open.push(socket.try_clone().unwrap());
@@ -108,7 +111,7 @@
             let _ = out.write_all(format!("{said}\r\n").as_bytes());
         }
     };
-    listen(serve).0
+    listen(serve)
 }
 
 /// Version and entries of the server list.
@@ -120,8 +123,9 @@
     format!("{{\"rev\":{},\"all\":true,\"targets\":[{}]}}", list.0, entries.join(","))
 }
 
-fn discovery(list: List) -> String {
+fn discovery(list: List, open: Arc<Mutex<Vec<TcpStream>>>) -> (String, Arc<AtomicBool>) {
     let serve = move |socket: TcpStream| {
+        open.lock().unwrap().push(socket.try_clone().unwrap());
         let mut out = socket.try_clone().unwrap();
         let mut input = BufReader::new(socket);
         while let Some(head) = line(&mut input) {
@@ -134,7 +138,11 @@
             let _ = write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         }
     };
-    listen(serve).0
+    listen(serve)
+}
+
+fn cut(open: &mut Vec<TcpStream>) {
+    std::mem::take(open).iter().for_each(|socket| drop(socket.shutdown(Shutdown::Both)));
 }
 
 struct Server {
@@ -148,6 +156,10 @@
     servers: BTreeMap<String, Server>,
     list: List,
     counter: Arc<Mutex<Counter>>,
+    /// Connections to discovery, and the listeners of discovery and counter as the file names them.
+    watches: Arc<Mutex<Vec<TcpStream>>>,
+    named: Vec<(String, Arc<AtomicBool>)>,
+    file: PathBuf,
     node: Option<Child>,
     at: String,
     seen: Option<(Sender<Seen>, Receiver<Seen>)>,
@@ -201,26 +213,34 @@
         let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
         self.at = free.local_addr().unwrap().to_string();
         drop(free);
+        self.file = std::env::temp_dir().join(format!("wellcrank-{}-{scenario}.json", std::process::id()));
+        self.write();
+        let mut node = Command::new(env!("CARGO_BIN_EXE_wellcrank-edge"));
+        let node = node.env("BALANCER_CONFIG", &self.file).stderr(Stdio::null());
+        self.node = Some(node.spawn().expect("the node starts"));
+        self.until(|stage| TcpStream::connect(&stage.at).ok());
+    }
+
+    /// Writes the configuration, with a counter and a discovery at addresses that it did not name before.
+    fn write(&mut self) {
         let (memory, sockets) = self.limits.unwrap_or((192, 1024));
+        self.named = vec![discovery(self.list.clone(), self.watches.clone()), counter(self.counter.clone())];
         let settings = include_str!("scenarios/settings.json");
         let config = format!(
             "{{\"name\":\"n0\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"7\",\"counter\":\"{}\",\
              \"limits\":{{\"cores\":1.0,\"memory_mb\":{memory},\"sockets\":{sockets}}},\"known\":{},\
              \"settings\":{settings}}}",
             self.at,
-            discovery(self.list.clone()),
-            counter(self.counter.clone()),
+            self.named[0].0,
+            self.named[1].0,
             told(&self.list),
         );
-        let path = std::env::temp_dir().join(format!("wellcrank-{}-{scenario}.json", std::process::id()));
-        std::fs::write(&path, config).expect("a file for the configuration");
-        let mut node = Command::new(env!("CARGO_BIN_EXE_wellcrank-edge"));
-        self.node =
-            Some(node.env("BALANCER_CONFIG", &path).stderr(Stdio::null()).spawn().expect("the node starts"));
-        self.until(|stage| {
-            let up = TcpStream::connect(&stage.at).is_ok();
-            up.then(|| std::fs::remove_file(&path).expect("the file can be removed"))
-        });
+        std::fs::write(&self.file, config).expect("a file for the configuration");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.node.as_ref().expect("a node").id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
     }
 
     /// Asks again and again until there is something, or patience is at its end.
@@ -343,18 +363,31 @@
             ["apart", one, two] => assert_ne!(self.came[one], self.came[two]),
             ["leave", client] => drop(self.clients.remove(client).expect("a client")),
             ["counter", "cut"] => {
-                let open = std::mem::take(&mut self.counter.lock().unwrap().open);
-                open.iter().for_each(|socket| drop(socket.shutdown(Shutdown::Both)));
+                cut(&mut self.counter.lock().unwrap().open);
             }
             ["counter", mode] => self.counter.lock().unwrap().mode = mode.to_string(),
             ["even"] => self.until(|stage| {
                 let counter = stage.counter.lock().unwrap();
                 counter.sums.last().is_some_and(|(_, sum)| *sum == 0.0).then_some(())
             }),
-            ["stop"] => {
-                let id = self.node.as_ref().expect("a node").id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+            ["moved"] => {
+                let old = std::mem::take(&mut self.named);
+                old.iter().for_each(|(_, on)| on.store(false, Ordering::SeqCst));
+                let (counter, watches) = (self.counter.clone(), self.watches.clone());
+                let mut open = std::mem::take(&mut counter.lock().unwrap().open);
+                open.append(&mut watches.lock().unwrap());
+                self.write();
+                self.signal("-HUP");
+                self.until(|_| {
+                    let met = !counter.lock().unwrap().open.is_empty() && !watches.lock().unwrap().is_empty();
+                    met.then(|| cut(&mut open))
+                });
+            }
+            ["unreadable"] => {
+                std::fs::write(&self.file, "{").expect("a file for the configuration");
+                self.signal("-HUP");
             }
+            ["stop"] => self.signal("-TERM"),
             ["gone"] => {
                 let ended = self.until(|stage| stage.node.as_mut()?.try_wait().expect("its state"));
                 assert!(ended.success(), "{ended}");
@@ -375,6 +408,7 @@
         if let Some(mut node) = self.node.take() {
             let _ = node.kill();
             let _ = node.wait();
+            let _ = std::fs::remove_file(&self.file);
         }
     }
 }
