Bad clients: one check where Asked is made, two seconds for a command, accepting without recursion

Now: what an end makes room for is accepted at one place (resume), from the loop. A command must be whole 2 s after its first byte, a first one 2 s after connecting, else an error line and the end; connections that have asked nothing go first when room is short. Numbers are checked for range (units_top, gateways), customers below 2^33, ids are 16 hex digits and not those of open calls, each name once, the command that belongs to the route, a key where it is tokened. Pipelined commands are taken off the input once, not one by one (it moved the whole rest for each). App servers get a third of the descriptors, the rest is the clients' (183 -> 239 of 384).

--- a/edge/src/budget.rs
+++ b/edge/src/budget.rs
@@ -14,11 +14,13 @@
 }
 
 impl Budget {
-    /// The counter gets one connection in 512 (one at least), clients and app servers half of the rest each:
-    /// an API call that is out holds one of either. Half of the memory may lie in buffers.
+    /// The counter gets one connection in 512 (one at least), app servers a third of all but no more than half
+    /// of the rest: clients' API calls hold a third at most, and one that is out holds one there. The others are
+    /// the clients', of whom many may come and say nothing. Half of the memory may lie in buffers.
     pub fn new(sockets: usize, memory_mb: usize) -> Budget {
         let counter = (sockets / 512).clamp(1, 4);
         let rest = sockets.saturating_sub(OWN + counter).max(2);
-        Budget { clients: rest / 2, upstream: rest - rest / 2, counter, bytes: (memory_mb << 20) / 2 }
+        let upstream = sockets.div_ceil(3).min(rest.div_ceil(2));
+        Budget { clients: rest - upstream, upstream, counter, bytes: (memory_mb << 20) / 2 }
     }
 }
--- a/edge/src/calls.rs
+++ b/edge/src/calls.rs
@@ -2,7 +2,7 @@
 
 use crate::resp::{self, Words};
 use crate::turn::Serial;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wellcrank::port::*;
 
@@ -11,6 +11,8 @@
 pub struct Asked {
     bytes: Box<[u8]>,
     words: Words,
+    /// The client's own number for it.
+    pub number: u64,
     pub customer: CustomerId,
     pub route: RouteName,
     pub plan: PlanName,
@@ -20,42 +22,71 @@
     pub spread: u32,
 }
 
+/// The longest that a client may say it waits: state that nobody ends must end.
+const LONGEST: f64 = 600_000.0;
+
+/// The longest list of names and values.
+const LIST: usize = 1024;
+
+/// A number in 16 hex digits.
+fn hex(word: &[u8]) -> Option<u64> {
+    let digits = word.len() == 16 && word.iter().all(u8::is_ascii_hexdigit);
+    std::str::from_utf8(word).ok().filter(|_| digits).and_then(|text| u64::from_str_radix(text, 16).ok())
+}
+
+/// A number in plain decimal digits, from above zero on (or from zero) to the most.
+fn within(value: &str, least: f64, most: f64) -> Result<f64, &'static str> {
+    let plain = value.len() <= 16 && value.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let number = value.parse().ok().filter(|number: &f64| plain && (least..=most).contains(number));
+    number.ok_or("a wrong number")
+}
+
 impl Asked {
-    /// Checks the words of an API call: which route, whose, for how long. Says what is wrong.
-    pub fn new(bytes: &[u8], words: Words, facts: &Facts) -> Result<Asked, &'static str> {
+    /// Checks the words of an API call, the one place where that is done: which route, whose, for how long.
+    /// Says what is wrong.
+    pub fn new(bytes: &[u8], words: Words, facts: &Facts, calls: &Calls) -> Result<Asked, &'static str> {
         let word = |place: usize| words.get(place).map_or(&[][..], |word| &bytes[word.clone()]);
-        let wanted = if word(0).eq_ignore_ascii_case(b"SVC.QUERY") { 4 } else { 5 };
-        if words.len() != wanted {
+        let query = word(0).eq_ignore_ascii_case(b"SVC.QUERY");
+        if words.len() != if query { 4 } else { 5 } {
             return Err("wrong number of words");
         }
-        let text = |place| std::str::from_utf8(word(place)).map_err(|_| "not UTF-8");
-        let customer = text(1)?;
-        if customer.len() != 16 || !customer.bytes().all(|digit| digit.is_ascii_hexdigit()) {
-            return Err("no customer");
+        let customer = hex(word(1)).filter(|number| number >> 33 == 0).ok_or("no customer")?;
+        let number = hex(word(2)).ok_or("no id")?;
+        if calls.has(number) {
+            return Err("the id of an open call");
         }
-        if word(2).is_empty() {
-            return Err("no id");
+        let list = std::str::from_utf8(word(3)).unwrap_or_default();
+        if list.len() > LIST || !list.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err("an unreadable list");
         }
-        let (mut route, mut plan, mut wait) = ("", "", 0.0);
+        let gateways = facts.number("gateways").max(1.0);
+        let units_top = Some(facts.number("counter.units_top")).filter(|top| *top > 0.0).unwrap_or(1e6);
+        let (mut route, mut plan, mut key, mut wait) = ("", "", "", 0.0);
         let (mut units, mut first, mut spread) = (1.0, 0.0, 1.0);
-        for (name, value) in resp::pairs(text(3)?) {
-            let number = || {
-                let number = value.parse().ok().filter(|number: &f64| (0.0..1e9).contains(number));
-                number.ok_or("a wrong number")
-            };
+        let mut seen = Vec::with_capacity(8);
+        for pair in list.split(',') {
+            let (name, value) = pair.split_once('=').ok_or("not a list of names and values")?;
+            if seen.contains(&name) {
+                return Err("a name twice");
+            }
+            seen.push(name);
             match name {
                 "c" => route = value,
                 "t" => plan = value,
-                "d" => wait = number()?,
-                "units" => units = number()?,
-                "first" => first = number()?,
-                "spread" => spread = number()?,
+                "k" => key = value,
+                "d" => wait = within(value, 1e-3, LONGEST)?,
+                "units" => units = within(value, 1e-3, units_top)?,
+                "first" => first = within(value, 0.0, gateways - 1.0)?,
+                "spread" => spread = within(value, 1.0, gateways)?,
                 _ => (),
             }
         }
         let (route, plan): (RouteName, PlanName) = (route.into(), plan.into());
-        if facts.said(&route, "repeat").is_empty() {
-            return Err("no such route");
+        match facts.said(&route, "repeat") {
+            "" => return Err("no such route"),
+            repeat if query != (repeat == "idempotent") => return Err("not the command for this route"),
+            "tokened" if key.is_empty() => return Err("no key"),
+            _ => (),
         }
         if !facts.has_plan(&plan) {
             return Err("no such plan");
@@ -63,18 +94,13 @@
         if wait <= 0.0 {
             return Err("no time to answer");
         }
-        let wait = Duration::from_secs_f64(wait / 1000.0);
-        Ok(Asked {
-            customer: customer.into(),
-            route,
-            plan,
-            wait,
-            units,
-            first: first as u32,
-            spread: spread as u32,
-            bytes: bytes.into(),
-            words,
-        })
+        if first.fract() + spread.fract() > 0.0 {
+            return Err("no set of gateways");
+        }
+        let customer: CustomerId = format!("{customer:016x}").as_str().into();
+        let (wait, first, spread) = (Duration::from_secs_f64(wait / 1000.0), first as u32, spread as u32);
+        let bytes = bytes.into();
+        Ok(Asked { bytes, words, number, customer, route, plan, wait, units, first, spread })
     }
 
     pub fn size(&self) -> usize {
@@ -86,6 +112,10 @@
         resp::put_array(out, self.words.len());
         for (place, word) in self.words.iter().enumerate() {
             let word = &self.bytes[word.clone()];
+            if place == 0 {
+                resp::put_bulk(out, &word.to_ascii_uppercase());
+                continue;
+            }
             if place != 3 {
                 resp::put_bulk(out, word);
                 continue;
@@ -119,7 +149,11 @@
 }
 
 #[derive(Default)]
-pub struct Calls(BTreeMap<Serial, Open>);
+pub struct Calls {
+    open: BTreeMap<Serial, Open>,
+    /// The clients' numbers of the open ones.
+    numbers: BTreeSet<u64>,
+}
 
 pub fn id(serial: Serial) -> CallId {
     serial.to_string().as_str().into()
@@ -131,23 +165,31 @@
 
 impl Calls {
     pub fn len(&self) -> usize {
-        self.0.len()
+        self.open.len()
+    }
+
+    /// Whether a client's number is that of an open API call.
+    pub fn has(&self, number: u64) -> bool {
+        self.numbers.contains(&number)
     }
 
     pub fn open(&mut self, serial: Serial, open: Open) {
-        self.0.insert(serial, open);
+        self.numbers.insert(open.asked.number);
+        self.open.insert(serial, open);
     }
 
     pub fn get(&mut self, call: &CallId) -> Option<&mut Open> {
-        self.0.get_mut(&serial(call))
+        self.open.get_mut(&serial(call))
     }
 
     /// Still owed its one final answer.
     pub fn is_open(&self, call: &CallId) -> bool {
-        self.0.get(&serial(call)).is_some_and(|open| !open.answered)
+        self.open.get(&serial(call)).is_some_and(|open| !open.answered)
     }
 
     pub fn remove(&mut self, call: &CallId) -> Option<Open> {
-        self.0.remove(&serial(call))
+        let open = self.open.remove(&serial(call))?;
+        self.numbers.remove(&open.asked.number);
+        Some(open)
     }
 }
--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -15,6 +15,9 @@
 use std::time::Duration;
 use wellcrank::port::*;
 
+/// So long a connection may stand with nothing open: from then on it may be closed.
+const IDLE: Duration = Duration::from_secs(2);
+
 /// What a command left behind: which API call it is, if any, and its answer if that came before its turn.
 struct Slot {
     call: Option<Serial>,
@@ -27,8 +30,11 @@
     /// Number of the first slot.
     first: u64,
     slots: VecDeque<Slot>,
-    /// Since when nothing has moved.
+    /// Since when it has been as it is: accepted, begun or done with a command, taking an answer. Further
+    /// pieces of a command do not count, so no client can draw one out.
     used: Duration,
+    /// Has asked something that could be taken.
+    known: bool,
     /// Input was left where it is, for want of room.
     held_up: bool,
     /// What came is no RESP2: closed once all before it is answered.
@@ -38,8 +44,9 @@
 pub struct Clients {
     listener: TcpListener,
     connections: Slab<Client>,
-    /// Accepting was left off for want of sockets.
+    /// Accepting was left off for want of sockets; a connection has since ended or become idle.
     waiting: bool,
+    room: bool,
     /// Held up connections that may go on.
     resume: Vec<usize>,
     /// A server list is known.
@@ -55,7 +62,8 @@
         let names = hub.facts.0.keys().filter(|name| name.ends_with(".client_timeout"));
         let longest_wait = names.map(|name| hub.facts.span(name)).max().unwrap_or_default();
         let connections = Slab::new();
-        Ok(Clients { listener, connections, waiting: false, resume: vec![], ready: false, longest_wait })
+        let (waiting, room, ready, resume) = (false, false, false, vec![]);
+        Ok(Clients { listener, connections, waiting, room, resume, ready, longest_wait })
     }
 
     pub fn len(&self) -> usize {
@@ -90,40 +98,31 @@
             let key = self.connections.vacant_key();
             if let Ok(pipe) = Pipe::accepted(hub, socket, Side::Client, key) {
                 let (connection, used) = (hub.serial(), hub.now);
-                let (slots, held_up, closing) = (VecDeque::new(), false, false);
-                self.connections.insert(Client { pipe, connection, first: 0, slots, used, held_up, closing });
+                let (slots, known, held_up, closing) = (VecDeque::new(), false, false, false);
+                let first = 0;
+                let client = Client { pipe, connection, first, slots, used, known, held_up, closing };
+                self.connections.insert(client);
             }
         }
     }
 
-    /// The connection that has been idle longest, if any is.
+    /// The connection to go for another one: that of a client that has asked nothing yet, else one that has
+    /// been idle longest.
     fn idle_longest(&mut self, hub: &mut Hub, calls: &mut Calls) -> Option<usize> {
         loop {
-            let idle = self.connections.iter().filter(|(_, client)| self.idle(hub, client));
-            let (key, _) = idle.min_by_key(|(_, client)| client.used)?;
+            let idle = self.connections.iter().filter(|(_, client)| client.idle(hub));
+            let (key, _) = idle.min_by_key(|(_, client)| (client.known, client.used))?;
             if self.stays_idle(hub, key, calls) {
                 return Some(key);
             }
         }
     }
 
-    /// Between two API calls, as far as is seen: only then may a connection be closed. A client that has sent
-    /// nothing yet, or half a command, may just be sending: the one has as long as a connection may take to
-    /// come up, and as long again, the other until no client would wait any more.
-    fn idle(&self, hub: &Hub, client: &Client) -> bool {
-        let wait = match client.pipe.input.is_empty() {
-            true if client.first > 0 => Duration::ZERO,
-            true => hub.facts.span("limits.connect_timeout") * 2,
-            false => self.longest_wait,
-        };
-        client.quiet() && client.used + wait <= hub.now
-    }
-
     /// Takes what has come and not been told yet; says whether that was nothing.
     fn stays_idle(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) -> bool {
         self.connections[key].pipe.drained = false;
         self.pump(hub, key, calls);
-        self.connections.get(key).is_some_and(|client| self.idle(hub, client))
+        self.connections.get(key).is_some_and(|client| client.idle(hub))
     }
 
     pub fn ready(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
@@ -145,11 +144,11 @@
             if client.pipe.drained {
                 return;
             }
-            let before = client.pipe.input.len();
+            let begun = !client.pipe.input.is_empty();
             if !client.pipe.read(hub, resp::WHOLE) {
                 return self.close(hub, key, calls);
             }
-            if client.pipe.input.len() > before {
+            if !begun && !client.pipe.input.is_empty() {
                 client.used = hub.now;
             }
         }
@@ -159,27 +158,31 @@
     fn take(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) -> bool {
         let Some(client) = self.connections.get_mut(key) else { return false };
         client.held_up = false;
-        while !client.closing && !client.pipe.input.is_empty() {
-            match resp::command(&client.pipe.input) {
+        let (input, mut took) = (std::mem::take(&mut client.pipe.input), 0);
+        while !client.closing && took < input.len() {
+            let bytes = &input[took..];
+            match resp::command(bytes) {
                 // What is no whole command yet must end within the size of one.
-                Ok(None) if client.pipe.input.len() < resp::WHOLE => return true,
+                Ok(None) if bytes.len() < resp::WHOLE => break,
                 Ok(None) => client.malformed(hub, "too long a command"),
-                Ok(Some((words, took))) => {
+                Ok(Some((words, end))) => {
                     let most = hub.facts.number("limits.max_open") as usize;
                     // Each open API call may yet bring a whole value.
                     let crowded = hub.held + calls.len() * resp::VALUE > hub.budget.bytes;
                     let full = crowded || (most > 0 && calls.len() >= most);
                     client.held_up = full || client.pipe.left() > resp::WHOLE;
                     if client.held_up {
-                        return false;
+                        break;
                     }
-                    client.command(hub, key, words, took, calls, self.ready);
-                    client.pipe.take(hub, took);
+                    client.command(hub, key, &bytes[..end], words, calls, self.ready);
+                    (took, client.used) = (took + end, hub.now);
                 }
                 Err(why) => client.malformed(hub, why),
             }
         }
-        !client.closing
+        client.pipe.input = input;
+        client.pipe.take(hub, took);
+        !client.closing && !client.held_up
     }
 
     /// Writes an answer, now if all before it are answered.
@@ -201,10 +204,9 @@
                     self.resume.push(key);
                 }
                 let quiet = client.quiet();
+                self.room |= quiet;
                 if client.closing && quiet {
                     self.close(hub, key, calls);
-                } else if self.waiting && quiet {
-                    self.accept(hub, calls);
                 }
             }
             Err(_) => self.close(hub, key, calls),
@@ -221,13 +223,17 @@
             }
         }
         client.pipe.close(hub);
-        if self.waiting {
-            self.accept(hub, calls);
-        }
+        self.room = true;
     }
 
-    /// Lets held up connections go on that an answer or a write has made room for. Says if there were any.
+    /// Lets connections go on that an answer, a write or an end has made room for: those held up, and those
+    /// not accepted yet. The one place for it: to accept may close a connection, which may not accept again
+    /// from within. Says if there were any.
     pub fn resume(&mut self, hub: &mut Hub, calls: &mut Calls) -> bool {
+        if std::mem::take(&mut self.room) && self.waiting {
+            self.accept(hub, calls);
+            return true;
+        }
         let keys = std::mem::take(&mut self.resume);
         for key in &keys {
             if self.connections.get(*key).is_some_and(|client| client.held_up) {
@@ -237,8 +243,28 @@
         !keys.is_empty()
     }
 
-    /// Periodic: who does not take its answers for longer than any client waits is closed, and, when memory
-    /// is short, the largest half commands of clients with nothing open; others held up get a new chance.
+    /// At each tick: who has asked nothing that can be taken for so long, or has left a command unfinished, is
+    /// told so and closed; so are clients between two API calls, where they hold most of the connections.
+    pub fn sweep_idle(&mut self, hub: &mut Hub, calls: &mut Calls) {
+        let (crowded, now) = (self.connections.len() * 2 > hub.budget.clients, hub.now);
+        let over = |client: &Client| {
+            let done = client.known && client.pipe.input.is_empty();
+            client.quiet() && client.used + IDLE <= now && (crowded || !done)
+        };
+        for key in self.keys(over) {
+            self.connections[key].pipe.drained = false;
+            self.pump(hub, key, calls);
+            match self.connections.get_mut(key).filter(|client| over(client)) {
+                Some(client) if client.pipe.input.is_empty() => self.close(hub, key, calls),
+                Some(client) => client.malformed(hub, "too slow a command"),
+                None => (),
+            }
+        }
+    }
+
+    /// Once a second: who does not take its answers for longer than any client waits is closed, and, when
+    /// memory is short, the largest half commands of clients with nothing open; others held up get a new
+    /// chance.
     pub fn sweep(&mut self, hub: &mut Hub, calls: &mut Calls) {
         let longest = self.longest_wait;
         let stuck = |client: &Client| client.pipe.left() > 0 && client.used + longest < hub.now;
@@ -255,14 +281,12 @@
             self.close(hub, key, calls);
         }
         self.resume = self.keys(|client| client.held_up);
-        if self.waiting {
-            self.accept(hub, calls);
-        }
+        self.room = true;
     }
 
     /// The gateway stops: connections with nothing open are closed, unless something has just come.
     pub fn close_idle(&mut self, hub: &mut Hub, calls: &mut Calls) {
-        for key in self.keys(|client| self.idle(hub, client)) {
+        for key in self.keys(|client| client.idle(hub)) {
             if self.connections.contains(key) && self.stays_idle(hub, key, calls) {
                 self.close(hub, key, calls);
             }
@@ -280,6 +304,18 @@
         self.slots.is_empty() && self.pipe.left() == 0 && !self.held_up
     }
 
+    /// Between two API calls, as far as is seen: only then may a connection be closed. A client that has asked
+    /// nothing yet may just be about to, and has as long as a connection may take to come up; so has the rest
+    /// of a command, and of a known client's as long as a connection may stand idle.
+    fn idle(&self, hub: &Hub) -> bool {
+        let wait = match (self.known, self.pipe.input.is_empty()) {
+            (true, true) => Duration::ZERO,
+            (true, false) => IDLE,
+            _ => hub.facts.span("limits.connect_timeout"),
+        };
+        self.quiet() && self.used + wait <= hub.now
+    }
+
     /// A new command's place in the order; says its number.
     fn slot(&mut self) -> u64 {
         self.slots.push_back(Slot { call: None, answer: None });
@@ -295,25 +331,27 @@
         });
     }
 
-    /// One whole command, in the first `took` bytes of the input.
+    /// One whole command.
     fn command(
         &mut self,
         hub: &mut Hub,
         key: usize,
+        bytes: &[u8],
         words: resp::Words,
-        took: usize,
         calls: &mut Calls,
         ready: bool,
     ) {
         let number = self.slot();
-        let bytes = &self.pipe.input[..took];
         let word = |place: usize| words.get(place).map_or(&[][..], |word| &bytes[word.clone()]);
         let said = match word(0).to_ascii_uppercase().as_slice() {
-            b"SVC.QUERY" | b"SVC.SUBMIT" => match Asked::new(bytes, words, &hub.facts) {
+            b"SVC.QUERY" | b"SVC.SUBMIT" => match Asked::new(bytes, words, &hub.facts, calls) {
                 Ok(asked) => return self.call(hub, key, number, asked, calls),
                 Err(why) => format!("-ERR {why}\r\n"),
             },
-            b"PING" if ready => "+PONG\r\n".into(),
+            b"PING" if ready => {
+                self.known = true;
+                "+PONG\r\n".into()
+            }
             b"PING" => "-ERR no server list yet\r\n".into(),
             b"CLIENT" | b"SELECT" => "+OK\r\n".into(),
             _ => "-ERR unknown command\r\n".into(),
@@ -334,6 +372,7 @@
             first: asked.first,
             spread: asked.spread,
         };
+        self.known = true;
         let place = Place { key, connection: self.connection, number };
         self.slots.back_mut().expect("pushed for this command").call = Some(serial);
         hub.held += asked.size();
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -95,6 +95,7 @@
         if leaving {
             clients.close_idle(hub, calls);
         }
+        clients.sweep_idle(hub, calls);
         self.discovery.sweep(hub);
         if hub.now < self.next_second {
             return;
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -8,6 +8,7 @@
 //! list a! b- c                    discovery tells: a drains, b is gone, c is there
 //! ask c1 r1 read capped 9000 [N]  client c1 sends API call r1: route, plan, milliseconds to wait, size of a body
 //! raw c1 *1\r\n$4\r\nPING\r\n       client c1 sends these bytes
+//! connect c1                      client c1 connects, as any other step with its name has it do
 //! hear c1 -BUSY*                  what c1 gets next: a line, '$' and a value, 'end'; '*' stands for any rest
 //! gets a r1                       r1 comes to the app server a ('*': to any)
 //! none                            no command has come to an app server
@@ -311,6 +312,7 @@
                 let command = format!("*{}\r\n{}", parts.len(), parts.concat());
                 self.client(client).get_mut().write_all(command.as_bytes()).expect("the node reads");
             }
+            ["connect", client] => drop(self.client(client)),
             ["raw", client, ..] => {
                 let bytes = step.splitn(3, ' ').nth(2).unwrap().replace("\\r", "\r").replace("\\n", "\n");
                 self.client(client).get_mut().write_all(bytes.as_bytes()).expect("the node reads");
