--- a/src/control.rs
+++ b/src/control.rs
@@ -142,8 +142,9 @@
         let account = self.accounts.entry(arrival.customer.clone()).or_default();
         let spread = f64::from(arrival.spread.max(1));
         (account.spread, account.rank) = (spread, rank);
-        let idle = now.saturating_sub(account.asked).as_secs_f64();
-        account.demand = account.demand * (-idle / window).exp() + arrival.units / window;
+        let fade = (-now.saturating_sub(account.asked).as_secs_f64() / window).exp();
+        account.demand = account.demand * fade + arrival.units / window;
+        account.unsaid *= fade;
         account.asked = now;
         let spent = account.refused_until > now;
         let part = if rate > 0.0 { burst } else { self.cap(&arrival.plan) } / spread;
@@ -428,7 +429,8 @@
             let before = (account.demand - units / window) * account.spread;
             let enough = enough || (!hard && before < rate * CALM);
             self.calls.get_mut(call).expect("looked up above").unsure = true;
-            self.bears.unsaid += if enough { units } else { 0.0 };
+            let sent = if enough { units } else { 0.0 };
+            (account.unsaid, self.bears.unsaid) = (account.unsaid + sent, self.bears.unsaid + sent);
             return next(self, enough);
         }
         let again = call.clone();
@@ -467,14 +469,16 @@
         // Calls being scarce, an add also stands for what this gateway sent without one.
         let bears = &mut self.bears;
         let share = (bears.unsaid / bears.said.max(1.0)).min(10.0);
-        let extra = if plenty { 0.0 } else { (size * share).round() };
+        let owed = std::mem::take(&mut account.unsaid).round().max(0.0);
+        let extra = if plenty { owed } else { (size * share).round() };
         (bears.said, bears.unsaid) = (bears.said * 0.95 + size, bears.unsaid * 0.95);
         let told = move |c: &mut Control, counted: Counted| {
             let (now, plenty) = (c.now, !c.scarce());
             let account = c.accounts.entry(owner.clone()).or_default();
             let (mut more, mut back) = (true, 0.0);
+            account.unsaid += if counted == Counted::NotAdded { owed } else { 0.0 };
             if let Some(total) = counted.total_or(account.total + size + extra) {
-                account.follow(total - size - extra, now, rate, burst);
+                account.follow(total - size - extra + if plenty { owed } else { 0.0 }, now, rate, burst);
                 let fits = account.store.floor().clamp(0.0, size);
                 more = account.block + fits >= units;
                 let fits = if more { fits } else { 0.0 };
@@ -682,7 +686,7 @@
     fn settle(&mut self, customer: &CustomerId, off: f64, unsure: bool) {
         let account = self.accounts.entry(customer.clone()).or_default();
         match account.share.as_mut().filter(|_| unsure) {
-            Some(share) => share.left -= off,
+            Some(share) => (share.left, account.unsaid) = (share.left - off, account.unsaid + off),
             None => account.block -= off,
         }
     }
