--- a/src/control.rs
+++ b/src/control.rs
@@ -146,7 +146,7 @@
         account.demand = account.demand * fade + arrival.units / window;
         account.unsaid *= fade;
         account.asked = now;
-        let spent = account.refused_until > now;
+        let spent = account.refused_until;
         let part = if rate > 0.0 { burst } else { self.cap(&arrival.plan) } / spread;
         self.bears.thin += (f64::from(u8::from(part < arrival.units)) - self.bears.thin) * 0.02;
         self.bears.value += (self.value(&arrival) - self.bears.value) * 0.05;
@@ -154,7 +154,7 @@
         let (call, timed, customer) = (arrival.call.clone(), arrival.call.clone(), arrival.customer.clone());
         let last = arrival.until.saturating_sub(self.facts.span("resolution") * 2).max(now);
         self.calls.insert(call.clone(), Call::new(arrival, now, self.skipping()));
-        if spent || self.crowded(&call) {
+        if (spent > now && self.may_call(SPARE)) || self.crowded(&call) {
             return self.answer(&call, 1.0);
         }
         // Its last moment. What is refused at once needs none, and would wake a gateway in vain.
@@ -409,7 +409,7 @@
         let (rate, burst, window) = self.terms(&plan);
         let recent = self.accounts.get(&customer).map_or(0.0, |account| account.demand);
         let cheap = self.cheap(arrival, (recent * window * AHEAD / units).max(1.0));
-        let (now, scarce, silent) = (self.now, self.scarce(), !self.may_call(cheap));
+        let (now, scarce, silent) = (self.now, !self.may_call(SPARE), !self.may_call(cheap));
         // Never to be passed: such a customer's share starts empty and no calm one passes beyond it.
         let hard = self.facts.plan(&plan, "ceiling_rate") > 0.0;
         let account = self.accounts.entry(customer.clone()).or_default();
@@ -433,6 +433,9 @@
             (account.unsaid, self.bears.unsaid) = (account.unsaid + sent, self.bears.unsaid + sent);
             return next(self, enough);
         }
+        if account.refused_until > now {
+            return next(self, false);
+        }
         let again = call.clone();
         share.left += if enough { units } else { 0.0 };
         account.waiting.push(Box::new(move |c, more| match more {
