--- a/src/control.rs
+++ b/src/control.rs
@@ -424,7 +424,7 @@
             account.block -= units;
             return next(self, true);
         }
-        if silent || (enough && scarce) {
+        if silent || (scarce && (enough || self.bears.thin < THIN)) {
             // A split over many gateways may be under a unit: who was calm before this call passes.
             let before = (account.demand - units / window) * account.spread;
             let enough = enough || (!hard && before < rate * CALM);
