--- a/src/control.rs
+++ b/src/control.rs
@@ -142,11 +142,10 @@
         let account = self.accounts.entry(arrival.customer.clone()).or_default();
         let spread = f64::from(arrival.spread.max(1));
         (account.spread, account.rank) = (spread, rank);
-        let fade = (-now.saturating_sub(account.asked).as_secs_f64() / window).exp();
-        account.demand = account.demand * fade + arrival.units / window;
-        account.unsaid *= fade;
+        let idle = now.saturating_sub(account.asked).as_secs_f64();
+        account.demand = account.demand * (-idle / window).exp() + arrival.units / window;
         account.asked = now;
-        let spent = account.refused_until;
+        let spent = account.refused_until > now;
         let part = if rate > 0.0 { burst } else { self.cap(&arrival.plan) } / spread;
         self.bears.thin += (f64::from(u8::from(part < arrival.units)) - self.bears.thin) * 0.02;
         self.bears.value += (self.value(&arrival) - self.bears.value) * 0.05;
@@ -154,7 +153,7 @@
         let (call, timed, customer) = (arrival.call.clone(), arrival.call.clone(), arrival.customer.clone());
         let last = arrival.until.saturating_sub(self.facts.span("resolution") * 2).max(now);
         self.calls.insert(call.clone(), Call::new(arrival, now, self.skipping()));
-        if (spent > now && self.may_call(SPARE)) || self.crowded(&call) {
+        if spent || self.crowded(&call) {
             return self.answer(&call, 1.0);
         }
         // Its last moment. What is refused at once needs none, and would wake a gateway in vain.
@@ -256,7 +255,7 @@
             (bears.errors, bears.in_hand) = (bears.errors + 1, bears.in_hand.min(0.0));
             (bears.pace, bears.quick_to, bears.slowed) = ((made * 0.6).max(LEAST_PACE), made * 0.5, now);
         }
-        if !good && now >= self.skip_until && (bears.errors >= ERRORS || !crowded) {
+        if !good && now >= self.skip_until && (bears.errors >= ERRORS || bears.thin < THIN) {
             let skip = if counted == Counted::NotAdded { CROWDED_SKIP } else { SKIP };
             self.port.log(&format!("counter skipped for {skip:?}: {counted:?}"));
             self.skip_until = now + skip;
@@ -269,13 +268,7 @@
     fn may_call(&mut self, cheap: f64) -> bool {
         let most = self.fill();
         let enough = self.bears.in_hand >= 1.0 + (most - 1.0) * cheap.clamp(0.0, 1.0);
-        !self.skipping() && (self.bears.thin < THIN && self.bears.quick_to.is_infinite() || enough)
-    }
-
-    /// Calls are scarce, and so are the even splits that would do in their place: units are then asked for and
-    /// given back as rarely as can be. A split of some units serves better than a count that is not kept up.
-    fn scarce(&mut self) -> bool {
-        self.skipping() || (self.bears.thin >= THIN && !self.may_call(SPARE))
+        !self.skipping() && (self.bears.thin < THIN || enough)
     }
 
     /// In hand there can be what half a second allows, and a few at least.
@@ -424,18 +417,14 @@
             account.block -= units;
             return next(self, true);
         }
-        if silent || (scarce && (enough || self.bears.thin < THIN)) {
+        if silent || (enough && scarce) {
             // A split over many gateways may be under a unit: who was calm before this call passes.
             let before = (account.demand - units / window) * account.spread;
             let enough = enough || (!hard && before < rate * CALM);
             self.calls.get_mut(call).expect("looked up above").unsure = true;
-            let sent = if enough { units } else { 0.0 };
-            (account.unsaid, self.bears.unsaid) = (account.unsaid + sent, self.bears.unsaid + sent);
+            self.bears.unsaid += if enough { units } else { 0.0 };
             return next(self, enough);
         }
-        if account.refused_until > now {
-            return next(self, false);
-        }
         let again = call.clone();
         share.left += if enough { units } else { 0.0 };
         account.waiting.push(Box::new(move |c, more| match more {
@@ -450,7 +439,7 @@
     /// One add to the window's name takes a block; what the store cannot give goes back. The store is
     /// followed from the totals: they tell what all gateways took since.
     fn take(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) {
-        let plenty = !self.scarce();
+        let plenty = self.may_call(SPARE);
         let (rate, burst, window) = self.terms(plan);
         let length = Duration::from_secs_f64(window);
         let (window, start) = self.stretch(customer, length, self.now);
@@ -472,16 +461,14 @@
         // Calls being scarce, an add also stands for what this gateway sent without one.
         let bears = &mut self.bears;
         let share = (bears.unsaid / bears.said.max(1.0)).min(10.0);
-        let owed = std::mem::take(&mut account.unsaid).round().max(0.0);
-        let extra = if plenty { owed } else { (size * share).round() };
+        let extra = if plenty { 0.0 } else { (size * share).round() };
         (bears.said, bears.unsaid) = (bears.said * 0.95 + size, bears.unsaid * 0.95);
         let told = move |c: &mut Control, counted: Counted| {
-            let (now, plenty) = (c.now, !c.scarce());
+            let (now, plenty) = (c.now, c.may_call(SPARE));
             let account = c.accounts.entry(owner.clone()).or_default();
             let (mut more, mut back) = (true, 0.0);
-            account.unsaid += if counted == Counted::NotAdded { owed } else { 0.0 };
             if let Some(total) = counted.total_or(account.total + size + extra) {
-                account.follow(total - size - extra + if plenty { owed } else { 0.0 }, now, rate, burst);
+                account.follow(total - size - extra, now, rate, burst);
                 let fits = account.store.floor().clamp(0.0, size);
                 more = account.block + fits >= units;
                 let fits = if more { fits } else { 0.0 };
@@ -689,7 +676,7 @@
     fn settle(&mut self, customer: &CustomerId, off: f64, unsure: bool) {
         let account = self.accounts.entry(customer.clone()).or_default();
         match account.share.as_mut().filter(|_| unsure) {
-            Some(share) => (share.left, account.unsaid) = (share.left - off, account.unsaid + off),
+            Some(share) => share.left -= off,
             None => account.block -= off,
         }
     }
