--- a/src/control.rs
+++ b/src/control.rs
@@ -255,7 +255,7 @@
             (bears.errors, bears.in_hand) = (bears.errors + 1, bears.in_hand.min(0.0));
             (bears.pace, bears.quick_to, bears.slowed) = ((made * 0.6).max(LEAST_PACE), made * 0.5, now);
         }
-        if !good && now >= self.skip_until && (bears.errors >= ERRORS || bears.thin < THIN) {
+        if !good && now >= self.skip_until && (bears.errors >= ERRORS || !crowded) {
             let skip = if counted == Counted::NotAdded { CROWDED_SKIP } else { SKIP };
             self.port.log(&format!("counter skipped for {skip:?}: {counted:?}"));
             self.skip_until = now + skip;
@@ -268,7 +268,13 @@
     fn may_call(&mut self, cheap: f64) -> bool {
         let most = self.fill();
         let enough = self.bears.in_hand >= 1.0 + (most - 1.0) * cheap.clamp(0.0, 1.0);
-        !self.skipping() && (self.bears.thin < THIN || enough)
+        !self.skipping() && (self.bears.thin < THIN && self.bears.quick_to.is_infinite() || enough)
+    }
+
+    /// Calls are scarce, and so are the even splits that would do in their place: units are then asked for and
+    /// given back as rarely as can be. A split of some units serves better than a count that is not kept up.
+    fn scarce(&mut self) -> bool {
+        self.skipping() || (self.bears.thin >= THIN && !self.may_call(SPARE))
     }
 
     /// In hand there can be what half a second allows, and a few at least.
@@ -402,7 +408,7 @@
         let (rate, burst, window) = self.terms(&plan);
         let recent = self.accounts.get(&customer).map_or(0.0, |account| account.demand);
         let cheap = self.cheap(arrival, (recent * window * AHEAD / units).max(1.0));
-        let (now, scarce, silent) = (self.now, !self.may_call(SPARE), !self.may_call(cheap));
+        let (now, scarce, silent) = (self.now, self.scarce(), !self.may_call(cheap));
         // Never to be passed: such a customer's share starts empty and no calm one passes beyond it.
         let hard = self.facts.plan(&plan, "ceiling_rate") > 0.0;
         let account = self.accounts.entry(customer.clone()).or_default();
@@ -439,7 +445,7 @@
     /// One add to the window's name takes a block; what the store cannot give goes back. The store is
     /// followed from the totals: they tell what all gateways took since.
     fn take(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) {
-        let plenty = self.may_call(SPARE);
+        let plenty = !self.scarce();
         let (rate, burst, window) = self.terms(plan);
         let length = Duration::from_secs_f64(window);
         let (window, start) = self.stretch(customer, length, self.now);
@@ -464,7 +470,7 @@
         let extra = if plenty { 0.0 } else { (size * share).round() };
         (bears.said, bears.unsaid) = (bears.said * 0.95 + size, bears.unsaid * 0.95);
         let told = move |c: &mut Control, counted: Counted| {
-            let (now, plenty) = (c.now, c.may_call(SPARE));
+            let (now, plenty) = (c.now, !c.scarce());
             let account = c.accounts.entry(owner.clone()).or_default();
             let (mut more, mut back) = (true, 0.0);
             if let Some(total) = counted.total_or(account.total + size + extra) {
