--- a/src/control.rs
+++ b/src/control.rs
@@ -271,12 +271,6 @@
         !self.skipping() && (self.bears.thin < THIN && self.bears.quick_to.is_infinite() || enough)
     }
 
-    /// Calls are scarce, and so are the even splits that would do in their place: units are then asked for and
-    /// given back as rarely as can be. A split of some units serves better than a count that is not kept up.
-    fn scarce(&mut self) -> bool {
-        self.skipping() || (self.bears.thin >= THIN && !self.may_call(SPARE))
-    }
-
     /// In hand there can be what half a second allows, and a few at least.
     fn fill(&mut self) -> f64 {
         let most = f64::max(self.bears.pace * 0.5, 4.0);
@@ -408,7 +402,7 @@
         let (rate, burst, window) = self.terms(&plan);
         let recent = self.accounts.get(&customer).map_or(0.0, |account| account.demand);
         let cheap = self.cheap(arrival, (recent * window * AHEAD / units).max(1.0));
-        let (now, scarce, silent) = (self.now, self.scarce(), !self.may_call(cheap));
+        let (now, scarce, silent) = (self.now, !self.may_call(SPARE), !self.may_call(cheap));
         // Never to be passed: such a customer's share starts empty and no calm one passes beyond it.
         let hard = self.facts.plan(&plan, "ceiling_rate") > 0.0;
         let account = self.accounts.entry(customer.clone()).or_default();
@@ -445,7 +439,7 @@
     /// One add to the window's name takes a block; what the store cannot give goes back. The store is
     /// followed from the totals: they tell what all gateways took since.
     fn take(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) {
-        let plenty = !self.scarce();
+        let plenty = self.may_call(SPARE);
         let (rate, burst, window) = self.terms(plan);
         let length = Duration::from_secs_f64(window);
         let (window, start) = self.stretch(customer, length, self.now);
@@ -470,7 +464,7 @@
         let extra = if plenty { 0.0 } else { (size * share).round() };
         (bears.said, bears.unsaid) = (bears.said * 0.95 + size, bears.unsaid * 0.95);
         let told = move |c: &mut Control, counted: Counted| {
-            let (now, plenty) = (c.now, !c.scarce());
+            let (now, thin, plenty) = (c.now, c.bears.thin >= THIN, c.may_call(SPARE));
             let account = c.accounts.entry(owner.clone()).or_default();
             let (mut more, mut back) = (true, 0.0);
             if let Some(total) = counted.total_or(account.total + size + extra) {
@@ -485,7 +479,7 @@
                 if !more {
                     let short = (units - account.block - account.store) / rate;
                     let wait = Duration::from_secs_f64(short.clamp(0.01, length.as_secs_f64() * 0.5));
-                    account.refused_until = if plenty { now + wait } else { start + length };
+                    account.refused_until = if plenty || !thin { now + wait } else { start + length };
                 }
             }
             if back > 0.0 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -136,8 +136,6 @@
     /// Recent demand in units a second, and when it was last moved.
     pub demand: f64,
     pub asked: Duration,
-    /// Units sent without a word to the counter, and not told yet.
-    pub unsaid: f64,
     pub waiting: Vec<Next<bool>>,
     pub refused_until: Duration,
     /// The even split, while it is used in silence.
