--- a/src/control.rs
+++ b/src/control.rs
@@ -439,7 +439,7 @@
     /// One add to the window's name takes a block; what the store cannot give goes back. The store is
     /// followed from the totals: they tell what all gateways took since.
     fn take(&mut self, customer: &CustomerId, plan: &PlanName, units: f64) {
-        let (plenty, thin) = (self.may_call(SPARE), self.bears.thin >= THIN);
+        let plenty = self.may_call(SPARE);
         let (rate, burst, window) = self.terms(plan);
         let length = Duration::from_secs_f64(window);
         let (window, start) = self.stretch(customer, length, self.now);
@@ -458,13 +458,13 @@
         let usual = if known { split.min(recent) } else { split };
         let wanted = if plenty { usual } else { recent * AHEAD };
         let size = (wanted.max(units) - account.block).ceil();
-        // Where customers are many and thin, an add also stands for what this gateway sent without one.
+        // Calls being scarce, an add also stands for what this gateway sent without one.
         let bears = &mut self.bears;
         let share = (bears.unsaid / bears.said.max(1.0)).min(10.0);
-        let extra = if plenty || !thin { 0.0 } else { (size * share).round() };
+        let extra = if plenty { 0.0 } else { (size * share).round() };
         (bears.said, bears.unsaid) = (bears.said * 0.95 + size, bears.unsaid * 0.95);
         let told = move |c: &mut Control, counted: Counted| {
-            let (now, plenty) = (c.now, c.may_call(SPARE));
+            let (now, thin, plenty) = (c.now, c.bears.thin >= THIN, c.may_call(SPARE));
             let account = c.accounts.entry(owner.clone()).or_default();
             let (mut more, mut back) = (true, 0.0);
             if let Some(total) = counted.total_or(account.total + size + extra) {
@@ -478,7 +478,8 @@
                 account.total = total - back;
                 if !more {
                     let short = (units - account.block - account.store) / rate;
-                    let wait = Duration::from_secs_f64(short.clamp(0.01, length.as_secs_f64() * 0.5));
+                    let wait = length
+                        .mul_f64((short / length.as_secs_f64()).clamp(0.01, if plenty { 0.5 } else { 0.1 }));
                     account.refused_until = if plenty || !thin { now + wait } else { start + length };
                 }
             }
