--- a/src/control.rs
+++ b/src/control.rs
@@ -478,8 +478,7 @@
                 account.total = total - back;
                 if !more {
                     let short = (units - account.block - account.store) / rate;
-                    let wait = length
-                        .mul_f64((short / length.as_secs_f64()).clamp(0.01, if plenty { 0.5 } else { 0.1 }));
+                    let wait = Duration::from_secs_f64(short.clamp(0.01, length.as_secs_f64() * 0.5));
                     account.refused_until = if plenty || !thin { now + wait } else { start + length };
                 }
             }
