--- a/src/control.rs
+++ b/src/control.rs
@@ -237,7 +237,7 @@
         self.now < self.skip_until
     }
 
-    /// Step 6. An error has the counter skipped. Where this gateway makes several calls in their time limit,
+    /// Step 6. An error has the counter skipped. Where this gateway makes a call in two time limits or more,
     /// and so may crowd it, or the even split gives most customers less than a call, an error slows its calls
     /// below what it made of late and prompt answers speed them up: gateways share what the counter bears.
     /// Errors in a row are an outage. Harm: slow for one, it is used less; an outage is known a second later.
@@ -245,7 +245,7 @@
         let limit = self.facts.span("counter.counter_timeout");
         let good = counted.total_or(0.0).is_some();
         let (now, bears) = (self.now, &mut self.bears);
-        let crowded = bears.thin >= THIN || bears.calling * limit.as_secs_f64() > 1.0;
+        let crowded = bears.thin >= THIN || bears.calling * limit.as_secs_f64() > 0.5;
         bears.errors = if good { 0 } else { bears.errors };
         if good && took < limit.mul_f64(PROMPT) {
             bears.pace += if bears.pace < bears.quick_to { 1.0 } else { SPEED_UP.max(bears.pace * 0.01) };
