One place for the most units of an API call; the runner's escapes and spoilt answers once each

calls.rs and pool.rs each read units_top with a fallback of their own (1e6 asked, none settled); both now ask most_units(), so a settled cost above 1e6 counts as none where the settings state no bound. In the edge's runner the escapes were undone at two places, and the mode 'spoilt' was ended apart from where it answers.

--- a/edge/src/calls.rs
+++ b/edge/src/calls.rs
@@ -28,6 +28,11 @@
 /// The longest list of names and values.
 const LIST: usize = 1024;
 
+/// The most units that an API call may take, asked for or settled; a bound also where the settings state none.
+pub fn most_units(facts: &Facts) -> f64 {
+    Some(facts.number("counter.units_top")).filter(|top| *top > 0.0).unwrap_or(1e6)
+}
+
 /// A number in 16 hex digits.
 fn hex(word: &[u8]) -> Option<u64> {
     let digits = word.len() == 16 && word.iter().all(u8::is_ascii_hexdigit);
@@ -60,7 +65,6 @@
             return Err("an unreadable list");
         }
         let gateways = facts.number("gateways").max(1.0);
-        let units_top = Some(facts.number("counter.units_top")).filter(|top| *top > 0.0).unwrap_or(1e6);
         let (mut route, mut plan, mut key, mut wait) = ("", "", "", 0.0);
         let (mut units, mut first, mut spread) = (1.0, 0.0, 1.0);
         let mut seen = Vec::with_capacity(8);
@@ -75,7 +79,7 @@
                 "t" => plan = value,
                 "k" => key = value,
                 "d" => wait = within(value, 1e-3, LONGEST)?,
-                "units" => units = within(value, 1e-3, units_top)?,
+                "units" => units = within(value, 1e-3, most_units(facts))?,
                 "first" => first = within(value, 0.0, gateways - 1.0)?,
                 "spread" => spread = within(value, 1.0, gateways)?,
                 _ => (),
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -265,8 +265,7 @@
             Reply::Value { value, figures, load: report } => {
                 (outcome, load) = (Outcome::Proxied, report);
                 let cost = resp::pairs(figures).find(|(name, _)| *name == "cost");
-                let most = hub.facts.number("counter.units_top");
-                let most = if most > 0.0 { most } else { f64::MAX };
+                let most = crate::calls::most_units(&hub.facts);
                 settled = cost.and_then(|(_, units)| units.parse().ok());
                 settled = settled.filter(|units: &f64| *units > 0.0 && *units <= most);
                 if let Some(open) = calls.get(&job.call).filter(|open| !open.answered) {
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -108,6 +108,7 @@
                     sums[place].1 += add.parse::<f64>().expect("an amount");
                     let total = format!("ok {}", sums[place].1);
                     if state.mode == "spoilt" {
+                        state.mode = "answers".to_string();
                         "ok #".to_string()
                     } else {
                         total
@@ -115,9 +116,6 @@
                 }
                 _ => "error".to_string(),
             };
-            if said == "ok #" {
-                state.mode = "answers".to_string();
-            }
             drop(state);
             let _ = out.write_all(format!("{said}\r\n").as_bytes());
         }
@@ -152,6 +150,11 @@
     listen(serve)
 }
 
+/// The bytes that a step names behind its second word.
+fn unescaped(step: &str) -> String {
+    step.splitn(3, ' ').nth(2).unwrap().replace("\\r", "\r").replace("\\n", "\n")
+}
+
 fn cut(open: &mut Vec<TcpStream>) {
     std::mem::take(open).iter().for_each(|socket| drop(socket.shutdown(Shutdown::Both)));
 }
@@ -324,7 +327,7 @@
             }
             ["connect", client] => drop(self.client(client)),
             ["raw", client, ..] => {
-                let bytes = step.splitn(3, ' ').nth(2).unwrap().replace("\\r", "\r").replace("\\n", "\n");
+                let bytes = unescaped(step);
                 self.client(client).get_mut().write_all(bytes.as_bytes()).expect("the node reads");
             }
             ["hear", client, ..] => {
@@ -349,7 +352,7 @@
                 assert!(self.line.is_empty(), "{:?}", self.line);
             }
             ["bytes", id, ..] => {
-                let bytes = step.splitn(3, ' ').nth(2).unwrap().replace("\\r", "\r").replace("\\n", "\n");
+                let bytes = unescaped(step);
                 let mut stream = &self.streams.lock().unwrap()[self.came[id]];
                 stream.write_all(bytes.as_bytes()).expect("the node reads");
             }
@@ -379,9 +382,7 @@
             ["same", one, two] => assert_eq!(self.came[one], self.came[two]),
             ["apart", one, two] => assert_ne!(self.came[one], self.came[two]),
             ["leave", client] => drop(self.clients.remove(client).expect("a client")),
-            ["counter", "cut"] => {
-                cut(&mut self.counter.lock().unwrap().open);
-            }
+            ["counter", "cut"] => cut(&mut self.counter.lock().unwrap().open),
             ["counter", mode] => self.counter.lock().unwrap().mode = mode.to_string(),
             ["even"] => self.until(|stage| {
                 let counter = stage.counter.lock().unwrap();
