--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,12 @@
+//! wellcrank's laboratory: one model of the world ([`world`]) with two engines under it, the decisions in
+//! simulated time ([`simulated`]) and the programs on loopback sockets ([`loopback`]); experiments, a referee
+//! that shares no code with the program, recorded traffic, comparisons and reports.
+
+pub mod experiment;
+pub mod measure;
+pub mod minds;
+pub mod record;
+pub mod referee;
+pub mod simulated;
+pub mod told;
+pub mod world;
--- /dev/null
+++ b/lab/src/minds.rs
@@ -0,0 +1,275 @@
+//! What decides at the gateways of a simulated day: the decisions themselves, in this process, or those of
+//! another build, asked over the drill's wire. Either is handed what happened and says what it does.
+
+use serde_json::{json, Value};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+use wellcrank::control::Control;
+use wellcrank::port::*;
+
+/// Something that happened at a gateway.
+pub enum News {
+    Start { settings: Value, seed: u64 },
+    Killed,
+    Listed(bool, Vec<Listed>),
+    Arrived(Arrival),
+    Ended(CallId, TryNumber, Ended),
+    Counted(CounterName, Counted),
+    Gone(CallId),
+    Woken(WakeToken),
+}
+
+/// Something that a gateway does.
+#[derive(Clone, Debug)]
+pub enum Deed {
+    Send(CallId, ServerId, Duration),
+    Cancel(CallId, TryNumber),
+    Limit(CallId, Duration),
+    Error(CallId),
+    Count(CounterName, f64, Duration),
+    Wake(WakeToken, Duration),
+    Tell(Option<u32>, Vec<u8>),
+}
+
+pub trait Minds {
+    /// Something has happened at a gateway.
+    fn hand(&mut self, now: Duration, gateway: usize, news: News) -> Result<(), String>;
+    /// All that has been done since, in its order.
+    fn deeds(&mut self) -> Result<Vec<(usize, Deed)>, String>;
+}
+
+// ---- in this process ----
+
+type Line = Rc<RefCell<Vec<(usize, Deed)>>>;
+
+struct Hands {
+    gateway: usize,
+    line: Line,
+}
+
+impl Hands {
+    fn does(&mut self, deed: Deed) {
+        self.line.borrow_mut().push((self.gateway, deed));
+    }
+}
+
+impl Port for Hands {
+    fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration) {
+        self.does(Deed::Send(call.clone(), server.clone(), timeout));
+    }
+    fn cancel(&mut self, call: &CallId, number: TryNumber) {
+        self.does(Deed::Cancel(call.clone(), number));
+    }
+    fn rate_limit(&mut self, call: &CallId, retry_after: Duration) {
+        self.does(Deed::Limit(call.clone(), retry_after));
+    }
+    fn error(&mut self, call: &CallId) {
+        self.does(Deed::Error(call.clone()));
+    }
+    fn count(&mut self, name: CounterName, add: f64, keep: Duration) {
+        self.does(Deed::Count(name, add, keep));
+    }
+    fn wake(&mut self, token: WakeToken, at: Duration) {
+        self.does(Deed::Wake(token, at));
+    }
+    fn tell(&mut self, peer: Option<u32>, body: &[u8]) {
+        self.does(Deed::Tell(peer, body.to_vec()));
+    }
+    // The world needs none of these: it tells the list by itself, and the decisions send no probes.
+    fn probe(&mut self, _: &ServerId) {}
+    fn subscribe(&mut self, _: bool) {}
+    fn refetch(&mut self) {}
+    fn release(&mut self, _: &ServerId) {}
+    fn log(&mut self, _: &str) {}
+}
+
+#[derive(Default)]
+pub struct Here {
+    controls: BTreeMap<usize, Control>,
+    line: Line,
+}
+
+impl Minds for Here {
+    fn hand(&mut self, now: Duration, gateway: usize, news: News) -> Result<(), String> {
+        let news = match news {
+            News::Start { settings, seed } => {
+                let facts = wellcrank_words::facts(&settings);
+                let hands = Hands { gateway, line: self.line.clone() };
+                self.controls.insert(gateway, Control::new(facts, seed, now, Box::new(hands)));
+                return Ok(());
+            }
+            News::Killed => {
+                self.controls.remove(&gateway);
+                return Ok(());
+            }
+            news => news,
+        };
+        let Some(control) = self.controls.get_mut(&gateway) else { return Ok(()) };
+        control.tell_time(now);
+        match news {
+            News::Listed(whole, lines) => control.listed(whole, lines),
+            News::Arrived(arrival) => control.arrived(arrival),
+            News::Ended(call, number, end) => control.ended(&call, number, end),
+            News::Counted(name, counted) => control.counted(name, counted),
+            News::Gone(call) => control.gone(&call),
+            News::Woken(token) => control.woken(token),
+            News::Start { .. } | News::Killed => (),
+        }
+        Ok(())
+    }
+
+    fn deeds(&mut self) -> Result<Vec<(usize, Deed)>, String> {
+        Ok(std::mem::take(&mut *self.line.borrow_mut()))
+    }
+}
+
+// ---- another build, over the drill's wire ----
+
+pub struct Drill {
+    child: Child,
+    input: ChildStdin,
+    output: BufReader<ChildStdout>,
+    batch: String,
+    at: Option<Duration>,
+    deeds: Vec<(usize, Deed)>,
+}
+
+fn nanos(span: Duration) -> u64 {
+    span.as_nanos() as u64
+}
+
+impl Drill {
+    pub fn start(program: &str) -> Result<Drill, String> {
+        let child = Command::new(program).stdin(Stdio::piped()).stdout(Stdio::piped()).spawn();
+        let mut child = child.map_err(|error| format!("{program}: {error}"))?;
+        let input = child.stdin.take().ok_or("no input to the drill")?;
+        let output = BufReader::new(child.stdout.take().ok_or("no output of the drill")?);
+        Ok(Drill { child, input, output, batch: String::new(), at: None, deeds: Vec::new() })
+    }
+
+    fn event(&mut self, now: Duration, event: Value) -> Result<(), String> {
+        if self.at != Some(now) {
+            self.flush()?;
+            self.at = Some(now);
+            self.batch.push_str(&format!("{}\n", json!({"event_type": "frame", "wall_ns": nanos(now)})));
+        }
+        self.batch.push_str(&format!("{event}\n"));
+        Ok(())
+    }
+
+    /// Sends what has been collected, and reads what is done about it.
+    fn flush(&mut self) -> Result<(), String> {
+        if self.batch.is_empty() {
+            return Ok(());
+        }
+        self.batch.push_str("{\"event_type\":\"eob\"}\n");
+        let sent = self.input.write_all(self.batch.as_bytes()).and_then(|()| self.input.flush());
+        sent.map_err(|error| format!("the drill takes nothing more: {error}"))?;
+        self.batch.clear();
+        self.at = None;
+        loop {
+            let mut line = String::new();
+            let read = self.output.read_line(&mut line).map_err(|error| error.to_string())?;
+            if read == 0 {
+                return Err("the drill has ended".into());
+            }
+            let said: Value = serde_json::from_str(&line).map_err(|error| format!("the drill: {error}"))?;
+            if said["event_type"] == "finished" {
+                return Ok(());
+            }
+            let gateway = said["i"].as_u64().unwrap_or(0) as usize;
+            if let Some(deed) = deed(&said) {
+                self.deeds.push((gateway, deed));
+            }
+        }
+    }
+}
+
+/// An action on the drill's wire; none where the world needs none.
+fn deed(said: &Value) -> Option<Deed> {
+    let text = |name: &str| said[name].as_str().unwrap_or_default();
+    let span = |name: &str| Duration::from_nanos(said[name].as_u64().unwrap_or(0));
+    let call = || CallId::from(text("txn"));
+    Some(match text("event_type") {
+        "transmit" => Deed::Send(call(), text("server").into(), span("timeout_ns")),
+        "undo_send" => Deed::Cancel(call(), TryNumber(said["attempt"].as_u64().unwrap_or(0) as u32)),
+        "turn_away" => Deed::Limit(call(), span("backoff_ns")),
+        "give_up" => Deed::Error(call()),
+        "bump" => {
+            let name = CounterName(said["name"].as_u64().unwrap_or(0));
+            Deed::Count(name, said["step"].as_f64().unwrap_or(0.0), span("expire_in_ns"))
+        }
+        "defer" => Deed::Wake(WakeToken(said["token"].as_u64().unwrap_or(0)), span("due_at_ns")),
+        "post" => {
+            let body = text("body");
+            let bytes = (0..body.len() / 2).filter_map(|at| u8::from_str_radix(&body[at * 2..at * 2 + 2], 16).ok());
+            Deed::Tell(said["recipient"].as_u64().map(|peer| peer as u32), bytes.collect())
+        }
+        _ => return None,
+    })
+}
+
+impl Minds for Drill {
+    fn hand(&mut self, now: Duration, gateway: usize, news: News) -> Result<(), String> {
+        let event = match news {
+            News::Start { settings, seed } => {
+                json!({"event_type": "open_instance", "i": gateway, "config": settings, "salt": seed})
+            }
+            News::Killed => json!({"event_type": "crash_now", "i": gateway}),
+            News::Listed(whole, lines) => {
+                let lines: Vec<Value> = lines.iter().map(|line| json!({
+                    "server": &*line.server.0, "pod": line.cell, "region_part": line.zone, "hw": line.kind,
+                    "weight": line.weight, "since_ns": line.started.map_or(0, nanos),
+                    "phase": match line.phase { Phase::Ready => "IN", Phase::Draining => "LAME", Phase::Gone => "OUT" },
+                })).collect();
+                json!({"event_type": "fleet", "i": gateway, "scope": if whole { "F" } else { "D" }, "lines": lines})
+            }
+            News::Arrived(it) => json!({
+                "event_type": "inbound", "i": gateway, "txn": &*it.call.0, "holder": &*it.customer.0,
+                "plan": &*it.plan.0, "qos": &*it.route.0, "size_units": it.units,
+                "valid_until_ns": nanos(it.until), "from_no": it.first, "spread": it.spread,
+            }),
+            News::Ended(call, number, end) => json!({
+                "event_type": "report_back", "i": gateway, "txn": &*call.0, "attempt": number.0,
+                "lag_ns": nanos(end.latency), "closed": end.closed, "settled": end.settled, "pressure": end.load,
+                "disposition": match end.outcome {
+                    Outcome::Proxied => "S",
+                    Outcome::ServerError => "E",
+                    Outcome::TurnedAway => "F",
+                    Outcome::TimedOut => "T",
+                    Outcome::NoConnection => "C",
+                    Outcome::Broken => "R",
+                    Outcome::Cancelled => "X",
+                    Outcome::NotSent => "N",
+                },
+            }),
+            News::Counted(name, counted) => {
+                let (how, total) = match counted {
+                    Counted::Total(total) => ("S", Some(total)),
+                    Counted::Added | Counted::Unsure => ("T", None),
+                    Counted::NotAdded => ("F", None),
+                };
+                json!({"event_type": "tallied", "i": gateway, "name": name.0, "disposition": how, "total": total})
+            }
+            News::Gone(call) => json!({"event_type": "vanished", "i": gateway, "txn": &*call.0}),
+            News::Woken(token) => json!({"event_type": "wake", "i": gateway, "token": token.0}),
+        };
+        self.event(now, event)
+    }
+
+    fn deeds(&mut self) -> Result<Vec<(usize, Deed)>, String> {
+        self.flush()?;
+        Ok(std::mem::take(&mut self.deeds))
+    }
+}
+
+impl Drop for Drill {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/lab/src/referee.rs
@@ -0,0 +1,357 @@
+//! The referee: checks the five rules from what the stand-ins saw. It shares no code with the program and
+//! knows nothing of how it decides. A broken rule names rule, time, API call and gateway.
+
+use crate::experiment::{Experiment, Group, Repeat};
+use crate::world::{AskId, ServerNo, TryId};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// One final answer, in time, and nothing sent afterwards.
+    OneAnswer,
+    /// No effect twice, never two tries out.
+    NoEffectTwice,
+    Drains,
+    ColdServers,
+    Ceilings,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Broken {
+    pub rule: Rule,
+    /// Seconds since the start of the day.
+    pub at: f64,
+    pub call: Option<u32>,
+    pub gateway: Option<usize>,
+    pub what: String,
+}
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(out, "{:?} broken at {:.3} s", self.rule, self.at)?;
+        if let Some(call) = self.call {
+            write!(out, ", API call {call}")?;
+        }
+        if let Some(gateway) = self.gateway {
+            write!(out, ", gateway {gateway}")?;
+        }
+        write!(out, ": {}", self.what)
+    }
+}
+
+/// How a try ended, as its server saw it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum TryEnd {
+    Answered,
+    TurnedAway,
+    /// Given up by the gateway, or its connection has gone.
+    GivenUp,
+}
+
+/// A client's final answer, as the client saw it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Verdict {
+    /// The value that a server made for this API call, or another one.
+    Served {
+        right: bool,
+    },
+    Limited,
+    Errored,
+    /// The gateway ended the connection with no whole answer.
+    Cut,
+}
+
+struct TrySeen {
+    of: TryId,
+    server: ServerNo,
+    came: Duration,
+    end: Option<(Duration, TryEnd)>,
+}
+
+struct Seen {
+    route: usize,
+    gateway: usize,
+    account: u32,
+    units: f64,
+    until: Duration,
+    tries: Vec<TrySeen>,
+    answer: Option<Duration>,
+    /// The client has gone, or the gateway was killed: nothing is owed any more.
+    excused: bool,
+}
+
+/// What a ceiling leaves.
+struct Ceiling {
+    left: f64,
+    at: Duration,
+}
+
+pub struct Referee {
+    terms: Experiment,
+    slack: Duration,
+    asks: BTreeMap<AskId, Seen>,
+    open: Vec<BTreeSet<AskId>>,
+    /// Since when a gateway knows that a server drains or is gone.
+    told: BTreeMap<(usize, ServerNo), Duration>,
+    /// Cell and zone of each server.
+    places: BTreeMap<ServerNo, (u64, usize)>,
+    ceilings: BTreeMap<u32, Ceiling>,
+    plan_of: BTreeMap<u32, usize>,
+    /// A second try came while one was out: to be ended by then.
+    overlaps: BTreeMap<(AskId, TryId), Duration>,
+    pub broken: Vec<Broken>,
+    /// All of them; the list ends at some.
+    pub count: u64,
+}
+
+/// So many are kept.
+const KEPT: usize = 200;
+
+impl Referee {
+    /// `slack`: how much later than a rule's figure is still in time, for what is under way.
+    pub fn new(terms: &Experiment, slack: Duration) -> Referee {
+        Referee {
+            terms: terms.clone(),
+            slack,
+            asks: BTreeMap::new(),
+            open: vec![BTreeSet::new(); terms.fleet.gateways],
+            told: BTreeMap::new(),
+            places: BTreeMap::new(),
+            ceilings: BTreeMap::new(),
+            plan_of: BTreeMap::new(),
+            overlaps: BTreeMap::new(),
+            broken: Vec::new(),
+            count: 0,
+        }
+    }
+
+    fn breaks(&mut self, rule: Rule, now: Duration, call: Option<AskId>, gateway: Option<usize>, what: String) {
+        self.count += 1;
+        if self.broken.len() < KEPT {
+            let (at, call) = (now.as_secs_f64(), call.map(|id| id.0));
+            self.broken.push(Broken { rule, at, call, gateway, what });
+        }
+    }
+
+    pub fn server(&mut self, server: ServerNo, cell: u64, zone: usize) {
+        self.places.insert(server, (cell, zone));
+    }
+
+    pub fn account(&mut self, account: u32, plan: usize) {
+        self.plan_of.insert(account, plan);
+    }
+
+    /// A gateway was told of a server, at the moment when that was written to it.
+    pub fn told(&mut self, now: Duration, gateway: usize, server: ServerNo, wanted: bool) {
+        if wanted {
+            self.told.remove(&(gateway, server));
+        } else {
+            self.told.entry((gateway, server)).or_insert(now);
+        }
+    }
+
+    /// A gateway that starts knows nothing of what its earlier life was told.
+    pub fn started(&mut self, gateway: usize) {
+        self.told.retain(|(told, _), _| *told != gateway);
+    }
+
+    /// A gateway has taken an API call, to be answered by then.
+    pub fn asked(
+        &mut self,
+        ask: AskId,
+        gateway: usize,
+        route: usize,
+        account: u32,
+        units: f64,
+        until: Duration,
+    ) {
+        self.open[gateway].insert(ask);
+        let tries = Vec::new();
+        let seen =
+            Seen { route, gateway, account, units, until, tries, answer: None, excused: false };
+        self.asks.insert(ask, seen);
+    }
+
+    /// The client has closed its connection.
+    pub fn left(&mut self, ask: AskId) {
+        if let Some(seen) = self.asks.get_mut(&ask) {
+            seen.excused = true;
+            self.open[seen.gateway].remove(&ask);
+        }
+    }
+
+    pub fn killed(&mut self, gateway: usize) {
+        for ask in std::mem::take(&mut self.open[gateway]) {
+            if let Some(seen) = self.asks.get_mut(&ask) {
+                seen.excused = true;
+            }
+        }
+    }
+
+    /// A try has come to a server whole.
+    pub fn came(&mut self, now: Duration, of: TryId, ask: AskId, gateway: usize, server: ServerNo) {
+        let slack = self.slack;
+        if let Some(since) = self.told.get(&(gateway, server)) {
+            let late = now.saturating_sub(*since);
+            if late > Duration::from_secs_f64(self.terms.fleet.drain_grace) + slack {
+                let what = format!("sent to server {} {late:?} after being told it leaves", server.0);
+                self.breaks(Rule::Drains, now, Some(ask), Some(gateway), what);
+            }
+        }
+        let Some(seen) = self.asks.get_mut(&ask) else { return };
+        let (first, places) = (seen.tries.is_empty(), &self.places);
+        let mut wrongs = Vec::new();
+        if let Some(answered) = seen.answer.filter(|answered| now > *answered + slack) {
+            let what = format!("a try {:?} after the final answer", now - answered);
+            wrongs.push((Rule::OneAnswer, what));
+        }
+        let route = &self.terms.routes[seen.route];
+        let ran = seen.tries.iter().find(|it| it.end.is_none_or(|(_, end)| end != TryEnd::TurnedAway));
+        if let Some(ran) = ran {
+            let known = ran.came + Duration::from_secs_f64(route.memory) + slack >= now;
+            let place = |server: &ServerNo| places.get(server).copied().unwrap_or_default();
+            let (one, two) = (place(&ran.server), place(&server));
+            let dropped = match route.group {
+                Group::All => true,
+                Group::Cell => one.0 == two.0,
+                Group::Zone => one.1 == two.1,
+            };
+            match route.repeat {
+                Repeat::Idempotent => (),
+                Repeat::Tokened if known && dropped => (),
+                _ => {
+                    let what = format!("sent again after a try at server {} that may have run", ran.server.0);
+                    wrongs.push((Rule::NoEffectTwice, what));
+                }
+            }
+        }
+        for earlier in seen.tries.iter().filter(|it| it.end.is_none()) {
+            self.overlaps.insert((ask, earlier.of), now + slack);
+        }
+        seen.tries.push(TrySeen { of, server, came: now, end: None });
+        let (account, units) = (seen.account, seen.units);
+        for (rule, what) in wrongs {
+            self.breaks(rule, now, Some(ask), Some(gateway), what);
+        }
+        if first {
+            self.ceiling(now, ask, gateway, account, units);
+        }
+    }
+
+    /// Each first try takes its units from the ceiling of its customer.
+    fn ceiling(&mut self, now: Duration, ask: AskId, gateway: usize, account: u32, units: f64) {
+        let Some(plan) = self.plan_of.get(&account).map(|plan| &self.terms.plans[*plan]) else { return };
+        if plan.ceiling_rate <= 0.0 {
+            return;
+        }
+        let more = 1.0 + plan.ceiling_slack;
+        let top = f64::from(self.terms.load.units_top);
+        // The slack is a part of the ceiling or one of the largest API calls, whichever is more.
+        let depth = (plan.ceiling_burst * more).max(plan.ceiling_burst + top);
+        let rate = plan.ceiling_rate * more;
+        let purse = self.ceilings.entry(account).or_insert(Ceiling { left: depth, at: now });
+        purse.left = (purse.left + now.saturating_sub(purse.at).as_secs_f64() * rate).min(depth) - units;
+        purse.at = now;
+        if purse.left < 0.0 {
+            let what = format!("account {account} of plan {} is {:.1} units past its ceiling", plan.name, -purse.left);
+            purse.left = 0.0;
+            self.breaks(Rule::Ceilings, now, Some(ask), Some(gateway), what);
+        }
+    }
+
+    /// A try is no longer out.
+    pub fn over(&mut self, now: Duration, of: TryId, ask: AskId, end: TryEnd) {
+        let Some(seen) = self.asks.get_mut(&ask) else { return };
+        let gateway = seen.gateway;
+        if let Some(it) = seen.tries.iter_mut().find(|it| it.of == of) {
+            it.end.get_or_insert((now, end));
+        }
+        if let Some(by) = self.overlaps.remove(&(ask, of)) {
+            if now > by {
+                let what = "two tries out at once".to_string();
+                self.breaks(Rule::NoEffectTwice, now, Some(ask), Some(gateway), what);
+            }
+        }
+    }
+
+    /// A client has an answer, or the end of its connection.
+    pub fn answered(&mut self, now: Duration, ask: AskId, verdict: Verdict) {
+        let slack = self.slack;
+        let Some(seen) = self.asks.get_mut(&ask) else { return };
+        let gateway = seen.gateway;
+        self.open[gateway].remove(&ask);
+        let mut wrongs = Vec::new();
+        if seen.answer.replace(now).is_some() {
+            wrongs.push((Rule::OneAnswer, "a second final answer".to_string()));
+        } else if seen.excused {
+            return;
+        }
+        if now > seen.until + slack {
+            let what = format!("answered {:?} after the client timeout", now - seen.until);
+            wrongs.push((Rule::OneAnswer, what));
+        }
+        let route = &self.terms.routes[seen.route];
+        let may_have_run = seen.tries.iter().any(|it| it.end.is_none_or(|(_, end)| end != TryEnd::TurnedAway));
+        let harmless = match route.repeat {
+            Repeat::Idempotent => true,
+            // A client's next try is a new API call, but has the key that is known.
+            Repeat::Tokened => !may_have_run || route.group == Group::All,
+            Repeat::NonIdempotent => !may_have_run,
+        };
+        match verdict {
+            Verdict::Served { right: false } => {
+                wrongs.push((Rule::OneAnswer, "served with what no server made for it".into()));
+            }
+            Verdict::Cut => wrongs.push((Rule::OneAnswer, "the connection ended with no answer".into())),
+            Verdict::Limited if !harmless => {
+                let what = "called harmless to try again though a try may have run".to_string();
+                wrongs.push((Rule::NoEffectTwice, what));
+            }
+            _ => (),
+        }
+        for (rule, what) in wrongs {
+            self.breaks(rule, now, Some(ask), Some(gateway), what);
+        }
+    }
+
+    /// The time of an API call is over, slack and all.
+    pub fn time_up(&mut self, now: Duration, ask: AskId) {
+        let Some(seen) = self.asks.get(&ask) else { return };
+        let gateway = seen.gateway;
+        if seen.answer.is_none() && !seen.excused {
+            self.open[gateway].remove(&ask);
+            let what = "no final answer by the client timeout".to_string();
+            self.breaks(Rule::OneAnswer, now, Some(ask), Some(gateway), what);
+        }
+        // From here on only what is still out can matter.
+        if let Some(seen) = self.asks.get_mut(&ask) {
+            seen.excused = true;
+            seen.answer.get_or_insert(now);
+        }
+    }
+
+    pub fn fell(&mut self, now: Duration, server: ServerNo) {
+        let what = format!("cold server {} was pushed over by all gateways together", server.0);
+        self.breaks(Rule::ColdServers, now, None, None, what);
+    }
+
+    /// The day is over: what overlaps still is judged, and records that are done with are dropped.
+    pub fn end(&mut self, now: Duration) {
+        for ((ask, _), by) in std::mem::take(&mut self.overlaps) {
+            if now > by {
+                let gateway = self.asks.get(&ask).map(|seen| seen.gateway);
+                self.breaks(Rule::NoEffectTwice, now, Some(ask), gateway, "two tries out at once".into());
+            }
+        }
+    }
+
+    /// What is long over is forgotten, so that a long day does not fill the memory.
+    pub fn forget(&mut self, before: Duration) {
+        while let Some(entry) = self.asks.first_entry().filter(|entry| entry.get().until < before) {
+            entry.remove();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/simulated.rs
@@ -0,0 +1,707 @@
+//! The engine in simulated time: the world drives the decisions themselves through their interface, in one
+//! thread. The same seed gives the same result to the byte. What the edge node does beside deciding (which
+//! connection carries a try, when its time is up, what a call on the counter that is late comes to) is played
+//! here as `edge/` does it; the processor time of a gateway is not.
+
+use crate::experiment::{Experiment, Variant};
+use crate::measure::Results;
+use crate::minds::{Deed, Drill, Here, Minds, News};
+use crate::record::Recorded;
+use crate::referee::Verdict;
+use crate::told;
+use crate::world::counter::CounterSays;
+use crate::world::server::Listing;
+use crate::world::{Act, AskId, Change, CountId, Says, ServerNo, TryId, World};
+use nanorand::{Rng, WyRand};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+use wellcrank::port::*;
+
+/// The gateways' clocks begin here: an ordinary moment, as windows and periods are numbered from zero.
+const ORIGIN: Duration = Duration::from_secs(1_000_000);
+/// What the referee allows for messages under way.
+const SLACK: Duration = Duration::from_millis(50);
+
+/// The program altered on purpose, to show that the referee can fail a run.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Fault {
+    /// Every so many final answers, one is not given.
+    LosesAnswers(u64),
+    /// A try is sent to a second server while the first is out.
+    SendsTwice,
+    /// What broke is sent again, whatever the route says.
+    SendsAgain,
+    /// Changes of the list are not heard.
+    HearsNoChanges,
+    /// Every try goes to the youngest server.
+    LikesTheCold,
+    /// More is sent than is passed on to the decisions: ceilings are kept for every second API call only.
+    ForgetsUnits,
+}
+
+/// How a simulated day is to be played.
+#[derive(Clone, Default)]
+pub struct Terms {
+    pub fault: Option<Fault>,
+    /// Recorded traffic in place of the accounts.
+    pub replay: Vec<Recorded>,
+}
+
+enum Event {
+    Arrives(usize, AskId),
+    ClientLeft(usize, AskId),
+    Heard { ask: AskId, verdict: Verdict, advice: Option<Duration> },
+    TryArrives { key: TryKey, server: ServerNo, fresh: bool },
+    TryLeft(TryId),
+    Replied { key: TryKey, says: Says },
+    Refused(TryKey),
+    TryTimeUp(TryKey),
+    CountArrives { at: usize, life: u32, number: u64 },
+    CountAnswered { at: usize, life: u32, number: u64, says: CounterSays },
+    CountTimeUp { at: usize, life: u32, number: u64 },
+    Woken { at: usize, life: u32, token: WakeToken },
+    Listed { at: usize, life: u32, from: usize, upto: usize },
+    Ready(usize, u32),
+    Datagram { to: usize },
+    Sweep,
+}
+
+/// A try by the gateway's life, the API call and its number there.
+type TryKey = (usize, u32, AskId, u32);
+
+struct Out {
+    server: ServerNo,
+    sent: Duration,
+    /// As the server knows it, once it has come.
+    there: Option<TryId>,
+    /// The connection is up, as far as the gateway knows.
+    fresh: bool,
+}
+
+struct OpenCall {
+    until: Duration,
+    tries: u32,
+    answered: bool,
+    ended: u32,
+}
+
+struct CountOut {
+    name: CounterName,
+    add: f64,
+    keep: Duration,
+}
+
+#[derive(Default)]
+struct Gateway {
+    life: u32,
+    up: bool,
+    calls: BTreeMap<AskId, OpenCall>,
+    tries: BTreeMap<(AskId, u32), Out>,
+    counts: BTreeMap<u64, CountOut>,
+    next_count: u64,
+    /// When idle connections were last used, by server, the latest last; and how many there are in all.
+    idle: BTreeMap<ServerNo, Vec<Duration>>,
+    connections: usize,
+    /// Servers that the list lets it send to.
+    ready: BTreeMap<ServerNo, bool>,
+}
+
+struct Day<'a> {
+    world: World,
+    minds: Box<dyn Minds + 'a>,
+    gateways: Vec<Gateway>,
+    events: BinaryHeap<Reverse<(Duration, u64)>>,
+    what: BTreeMap<u64, Event>,
+    last: u64,
+    now: Duration,
+    servers: BTreeMap<String, ServerNo>,
+    counting: BTreeMap<CountId, (usize, u32, u64)>,
+    trying: BTreeMap<TryId, TryKey>,
+    told: toml::Table,
+    seeds: WyRand,
+    fault: Option<Fault>,
+    answers: u64,
+    twice: BTreeMap<AskId, ()>,
+}
+
+/// Plays one day of an experiment, as a variant has it.
+pub fn play(experiment: &Experiment, variant: &Variant, seed: u64, terms: &Terms) -> Result<Results, String> {
+    let changed = experiment.with(variant).map_err(|wrongs| format!("{wrongs:?}"))?;
+    let world = World::new(&changed, seed, false, SLACK, terms.replay.clone());
+    let minds: Box<dyn Minds> = match &variant.drill {
+        Some(program) => Box::new(Drill::start(program)?),
+        None => Box::new(Here::default()),
+    };
+    let mut day = Day {
+        gateways: (0..changed.fleet.gateways).map(|_| Gateway::default()).collect(),
+        world,
+        minds,
+        events: BinaryHeap::new(),
+        what: BTreeMap::new(),
+        last: 0,
+        now: Duration::ZERO,
+        servers: BTreeMap::new(),
+        counting: BTreeMap::new(),
+        trying: BTreeMap::new(),
+        told: variant.told.clone(),
+        seeds: WyRand::new_seed(seed ^ 0x5eed),
+        fault: terms.fault,
+        answers: 0,
+        twice: BTreeMap::new(),
+    };
+    day.play()?;
+    let mut results = day.world.measure.results();
+    results.experiment = experiment.title.clone();
+    results.variant = variant.name.clone();
+    results.engine = "simulated".into();
+    (results.seed, results.gateways, results.servers) = (seed, changed.fleet.gateways, changed.fleet.servers);
+    results.broken = std::mem::take(&mut day.world.referee.broken);
+    results.broken_count = day.world.referee.count;
+    let named = |place: &u32| day.world.servers[*place as usize].uid.clone();
+    results.server_load = day.world.measure.busy.iter().map(|(at, load)| (named(at), load.clone())).collect();
+    Ok(results)
+}
+
+fn call_id(ask: AskId) -> CallId {
+    ask.0.to_string().as_str().into()
+}
+
+fn ask_id(call: &CallId) -> Option<AskId> {
+    call.0.parse().ok().map(AskId)
+}
+
+impl Day<'_> {
+    fn at(&mut self, when: Duration, event: Event) {
+        self.last += 1;
+        self.events.push(Reverse((when.max(self.now), self.last)));
+        self.what.insert(self.last, event);
+    }
+
+    fn play(&mut self) -> Result<(), String> {
+        self.world.begin();
+        for gateway in 0..self.gateways.len() {
+            self.start(gateway)?;
+        }
+        self.at(Duration::from_secs(1), Event::Sweep);
+        let end = self.world.end();
+        loop {
+            let next = self.events.peek().map(|Reverse((when, _))| *when);
+            let due = self.world.next_due();
+            let Some(now) = [next, due].into_iter().flatten().min().filter(|now| *now <= end) else { break };
+            self.now = now;
+            if due == Some(now) {
+                let mut acts = Vec::new();
+                self.world.advance(now, &mut acts);
+                self.carry(acts)?;
+            }
+            while let Some(Reverse((when, _))) = self.events.peek() {
+                if *when > now {
+                    break;
+                }
+                let Some(Reverse((_, number))) = self.events.pop() else { break };
+                if let Some(event) = self.what.remove(&number) {
+                    self.event(event)?;
+                }
+            }
+            for (gateway, deed) in self.minds.deeds()? {
+                self.deed(gateway, deed)?;
+            }
+        }
+        self.now = end;
+        self.world.referee.end(end);
+        Ok(())
+    }
+
+    fn hand(&mut self, gateway: usize, news: News) -> Result<(), String> {
+        self.minds.hand(ORIGIN + self.now, gateway, news)
+    }
+
+    /// A gateway starts with the list as it was last told it.
+    fn start(&mut self, gateway: usize) -> Result<(), String> {
+        let settings = told::settings(&self.world.terms, gateway, &self.told)?;
+        let it = &mut self.gateways[gateway];
+        *it = Gateway { life: it.life + 1, up: true, ..Gateway::default() };
+        let (life, seed) = (it.life, self.seeds.generate());
+        self.hand(gateway, News::Start { settings, seed })?;
+        let upto = self.world.upto(gateway);
+        let list = self.world.list(upto);
+        self.listed(gateway, true, &list)?;
+        self.at(self.now + Duration::from_millis(20), Event::Ready(gateway, life));
+        Ok(())
+    }
+
+    fn listed(&mut self, gateway: usize, whole: bool, changes: &[Change]) -> Result<(), String> {
+        let mut lines = Vec::new();
+        for change in changes {
+            let server = &self.world.servers[change.server.0 as usize];
+            self.servers.insert(server.uid.clone(), change.server);
+            let phase = match change.listing {
+                Listing::Active => Phase::Ready,
+                Listing::Leaving => Phase::Draining,
+                Listing::Left => Phase::Gone,
+            };
+            lines.push(Listed {
+                server: server.uid.as_str().into(),
+                phase,
+                started: change.started.map(|at| ORIGIN + at),
+                cell: server.cell,
+                zone: told::zone_name(server.zone),
+                kind: server.kind.clone(),
+                weight: 1.0,
+            });
+            self.gateways[gateway].ready.insert(change.server, change.listing == Listing::Active);
+        }
+        self.world.told(self.now, gateway, changes);
+        if self.fault == Some(Fault::HearsNoChanges) && !whole {
+            for change in changes {
+                self.gateways[gateway].ready.insert(change.server, true);
+            }
+            return Ok(());
+        }
+        self.hand(gateway, News::Listed(whole, lines))
+    }
+
+    /// What the world leaves to be carried out.
+    fn carry(&mut self, acts: Vec<Act>) -> Result<(), String> {
+        let now = self.now;
+        for act in acts {
+            match act {
+                Act::Ask(ask) => {
+                    let gateway = self.world.asks[ask.0 as usize].gateway;
+                    self.at(now + self.world.near(), Event::Arrives(gateway, ask));
+                }
+                Act::Leave(ask) => {
+                    let gateway = self.world.asks[ask.0 as usize].gateway;
+                    self.at(now + self.world.near(), Event::ClientLeft(gateway, ask));
+                }
+                Act::Reply(of, says) => {
+                    if let Some(key) = self.trying.remove(&of) {
+                        let way = self.world.way(key.0, self.world.tries[of.0 as usize].server);
+                        self.at(now + way, Event::Replied { key, says });
+                    }
+                }
+                Act::Counted(count, says) => {
+                    if let Some((at, life, number)) = self.counting.remove(&count) {
+                        let when = now + self.world.near();
+                        self.at(when, Event::CountAnswered { at, life, number, says });
+                    }
+                }
+                Act::Told { gateway, upto } => {
+                    let (life, from) = (self.gateways[gateway].life, self.told_upto(gateway));
+                    self.at(now, Event::Listed { at: gateway, life, from, upto });
+                }
+                Act::Born(_) | Act::Up(_) => (),
+                Act::Down(server) => self.reset(server),
+                Act::Kill(gateway) => self.kill(gateway)?,
+                Act::Stop(_) => (),
+                Act::Start(gateway) => self.start(gateway)?,
+                // Where the counter has moved, the world answers from another one; the address is nothing here.
+                Act::Move(_) | Act::BadClients(_) => (),
+                Act::CounterCut => {
+                    let open: Vec<_> = std::mem::take(&mut self.counting).into_values().collect();
+                    for (at, life, number) in open {
+                        let says = CounterSays::Reset;
+                        self.at(now + self.world.near(), Event::CountAnswered { at, life, number, says });
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// The change from which on a gateway has not been told: changes come in order, one act each.
+    fn told_upto(&self, gateway: usize) -> usize {
+        self.world.upto(gateway).saturating_sub(1)
+    }
+
+    /// A server's connections are reset, its tries with them.
+    fn reset(&mut self, server: ServerNo) {
+        for at in 0..self.gateways.len() {
+            let it = &mut self.gateways[at];
+            let idle = it.idle.remove(&server).map_or(0, |idle| idle.len());
+            it.connections -= idle.min(it.connections);
+            (0..idle).for_each(|_| self.world.disconnected(server));
+            let life = it.life;
+            let out = it.tries.iter().filter(|(_, out)| out.server == server && out.there.is_some());
+            let keys: Vec<TryKey> = out.map(|((ask, number), _)| (at, life, *ask, *number)).collect();
+            for key in keys {
+                if let Some(there) = self.gateways[at].tries[&(key.2, key.3)].there {
+                    self.trying.remove(&there);
+                    self.world.left(self.now, there);
+                }
+                let way = self.world.way(at, server);
+                self.at(self.now + way, Event::Refused(key));
+            }
+        }
+    }
+
+    fn kill(&mut self, gateway: usize) -> Result<(), String> {
+        let it = &mut self.gateways[gateway];
+        it.up = false;
+        it.life += 1;
+        let (tries, idle) = (std::mem::take(&mut it.tries), std::mem::take(&mut it.idle));
+        let calls = std::mem::take(&mut it.calls);
+        it.counts.clear();
+        for out in tries.into_values() {
+            self.world.disconnected(out.server);
+            if let Some(there) = out.there {
+                self.trying.remove(&there);
+                self.at(self.now + self.world.way(gateway, out.server), Event::TryLeft(there));
+            }
+        }
+        for (server, idle) in idle {
+            idle.iter().for_each(|_| self.world.disconnected(server));
+        }
+        for ask in calls.into_keys() {
+            self.world.not_taken(self.now, ask);
+        }
+        self.hand(gateway, News::Killed)
+    }
+
+    fn event(&mut self, event: Event) -> Result<(), String> {
+        let now = self.now;
+        match event {
+            Event::Arrives(gateway, ask) => self.arrives(gateway, ask)?,
+            Event::ClientLeft(gateway, ask) => {
+                if self.gateways[gateway].calls.remove(&ask).is_some() {
+                    self.hand(gateway, News::Gone(call_id(ask)))?;
+                }
+            }
+            Event::Heard { ask, verdict, advice } => self.world.answered(now, ask, verdict, advice),
+            Event::TryArrives { key, server, fresh } => self.try_arrives(key, server, fresh)?,
+            Event::TryLeft(there) => self.world.left(now, there),
+            Event::Replied { key, says } => self.replied(key, says)?,
+            Event::Refused(key) => {
+                let there = self.out(key).and_then(|out| out.there);
+                let how = if there.is_some() { Outcome::Broken } else { Outcome::NoConnection };
+                self.ended(key, how, None, BTreeMap::new(), false)?;
+            }
+            Event::TryTimeUp(key) => {
+                if let Some(out) = self.out(key) {
+                    let how = if out.there.is_some() { Outcome::TimedOut } else { Outcome::NoConnection };
+                    self.give_up(key);
+                    self.ended(key, how, None, BTreeMap::new(), false)?;
+                }
+            }
+            Event::CountArrives { at, life, number } => {
+                let it = &self.gateways[at];
+                if let Some(call) = it.counts.get(&number).filter(|_| it.life == life) {
+                    let (name, add, keep) = (call.name.0, call.add, call.keep);
+                    let mut acts = Vec::new();
+                    let id = self.world.count(now, at, name, add, keep, &mut acts);
+                    self.counting.insert(id, (at, life, number));
+                    self.carry(acts)?;
+                }
+            }
+            Event::CountAnswered { at, life, number, says } => {
+                let it = &mut self.gateways[at];
+                if let Some(call) = (it.life == life).then(|| it.counts.remove(&number)).flatten() {
+                    let counted = match says {
+                        CounterSays::Total(total) => Counted::Total(total),
+                        CounterSays::Busy => Counted::NotAdded,
+                        CounterSays::Reset => Counted::Unsure,
+                    };
+                    self.hand(at, News::Counted(call.name, counted))?;
+                }
+            }
+            Event::CountTimeUp { at, life, number } => {
+                let it = &mut self.gateways[at];
+                if let Some(call) = (it.life == life).then(|| it.counts.remove(&number)).flatten() {
+                    self.hand(at, News::Counted(call.name, Counted::Unsure))?;
+                }
+            }
+            Event::Woken { at, life, token } => {
+                if self.gateways[at].life == life {
+                    self.hand(at, News::Woken(token))?;
+                }
+            }
+            Event::Listed { at, life, from, upto } => {
+                if self.gateways[at].life == life && self.gateways[at].up {
+                    let changes = self.world.changes[from..upto].to_vec();
+                    self.listed(at, false, &changes)?;
+                }
+            }
+            Event::Ready(gateway, life) => {
+                if self.gateways[gateway].life == life {
+                    self.world.ready(now, gateway);
+                }
+            }
+            // The decisions hear of no other gateway yet; what is sent is priced and dropped.
+            Event::Datagram { to: _ } => (),
+            Event::Sweep => self.sweep(),
+        }
+        Ok(())
+    }
+
+    /// Connections that were idle for too long are closed, as the edge node does each second.
+    fn sweep(&mut self) {
+        let fleet = &self.world.terms.fleet;
+        let keep = Duration::from_secs_f64((fleet.idle_close - fleet.connect_timeout).max(0.0));
+        for it in &mut self.gateways {
+            for (server, idle) in &mut it.idle {
+                let old = idle.iter().take_while(|used| **used + keep <= self.now).count();
+                idle.drain(..old);
+                it.connections -= old;
+                (0..old).for_each(|_| self.world.disconnected(*server));
+            }
+        }
+        self.at(self.now + Duration::from_secs(1), Event::Sweep);
+    }
+
+    fn arrives(&mut self, gateway: usize, ask: AskId) -> Result<(), String> {
+        let now = self.now;
+        if !self.gateways[gateway].up {
+            self.world.not_taken(now, ask);
+            return Ok(());
+        }
+        self.world.taken(ask);
+        let it = &self.world.asks[ask.0 as usize];
+        let origin = &self.world.clients.origins[it.origin.0 as usize];
+        let account = &self.world.clients.accounts[origin.account as usize];
+        // The client tells a span, and the gateway counts it from when the call has come.
+        let until = now + it.until.saturating_sub(it.born);
+        let units = if self.fault == Some(Fault::ForgetsUnits) { 0.001 } else { origin.units };
+        let arrival = Arrival {
+            call: call_id(ask),
+            customer: format!("{:016x}", account.name).as_str().into(),
+            plan: self.world.terms.plans[account.plan].name.as_str().into(),
+            route: self.world.terms.routes[origin.route].name.as_str().into(),
+            units,
+            until: ORIGIN + until,
+            first: account.first as u32,
+            spread: account.spread as u32,
+        };
+        let call = OpenCall { until, tries: 0, answered: false, ended: 0 };
+        self.gateways[gateway].calls.insert(ask, call);
+        self.hand(gateway, News::Arrived(arrival))
+    }
+
+    fn deed(&mut self, gateway: usize, deed: Deed) -> Result<(), String> {
+        let now = self.now;
+        if !self.gateways[gateway].up {
+            return Ok(());
+        }
+        let life = self.gateways[gateway].life;
+        match deed {
+            Deed::Send(call, server, timeout) => {
+                let Some(ask) = ask_id(&call) else { return Ok(()) };
+                self.send(gateway, ask, &server, timeout)?;
+                if self.fault == Some(Fault::SendsTwice) && self.twice.insert(ask, ()).is_none() {
+                    self.send(gateway, ask, &server, timeout)?;
+                }
+            }
+            Deed::Cancel(call, number) => {
+                let Some(ask) = ask_id(&call) else { return Ok(()) };
+                let key = (gateway, life, ask, number.0);
+                if self.out(key).is_some() {
+                    self.give_up(key);
+                    self.ended(key, Outcome::Cancelled, None, BTreeMap::new(), false)?;
+                }
+            }
+            Deed::Limit(call, after) => self.answer(gateway, &call, Verdict::Limited, Some(after)),
+            Deed::Error(call) => self.answer(gateway, &call, Verdict::Errored, None),
+            Deed::Count(name, add, keep) => {
+                let it = &mut self.gateways[gateway];
+                it.next_count += 1;
+                let number = it.next_count;
+                it.counts.insert(number, CountOut { name, add, keep });
+                let limit = Duration::from_secs_f64(self.world.terms.counter.timeout_ms / 1e3);
+                self.at(now + self.world.near(), Event::CountArrives { at: gateway, life, number });
+                self.at(now + limit, Event::CountTimeUp { at: gateway, life, number });
+            }
+            Deed::Wake(token, at) => {
+                self.at(at.saturating_sub(ORIGIN), Event::Woken { at: gateway, life, token });
+            }
+            Deed::Tell(peer, body) => {
+                let all = 0..self.gateways.len();
+                let to: Vec<usize> = match peer {
+                    Some(peer) => all.filter(|other| *other == peer as usize).collect(),
+                    None => all.filter(|other| *other != gateway).collect(),
+                };
+                let may = body.len() <= 256 && self.world.terms.network.peers;
+                for to in to.into_iter().filter(|_| may) {
+                    if let Some(late) = self.world.datagram(now, gateway, to) {
+                        self.at(now + late, Event::Datagram { to });
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// The one final answer goes to the client.
+    fn answer(&mut self, gateway: usize, call: &CallId, verdict: Verdict, advice: Option<Duration>) {
+        let Some(ask) = ask_id(call) else { return };
+        let Some(open) = self.gateways[gateway].calls.get_mut(&ask) else { return };
+        if std::mem::replace(&mut open.answered, true) {
+            return;
+        }
+        if open.ended >= open.tries {
+            self.gateways[gateway].calls.remove(&ask);
+        }
+        self.answers += 1;
+        if matches!(self.fault, Some(Fault::LosesAnswers(each)) if self.answers.is_multiple_of(each)) {
+            return;
+        }
+        self.at(self.now + self.world.near(), Event::Heard { ask, verdict, advice });
+    }
+
+    fn out(&self, key: TryKey) -> Option<&Out> {
+        let it = &self.gateways[key.0];
+        it.tries.get(&(key.2, key.3)).filter(|_| it.life == key.1)
+    }
+
+    /// Sends an API call on, as the edge node does: if it is open, has a try and time left and the list lets
+    /// it; over the latest used connection, or a new one if there may be one.
+    fn send(&mut self, gateway: usize, ask: AskId, server: &ServerId, timeout: Duration) -> Result<(), String> {
+        let now = self.now;
+        let mut server = self.servers.get(&*server.0).copied();
+        if self.fault == Some(Fault::LikesTheCold) {
+            let all = self.world.servers.iter().enumerate();
+            let all = all.filter(|(_, it)| it.listing == Listing::Active && it.started.is_some());
+            let youngest = all.max_by_key(|(_, it)| it.started).map(|(at, _)| ServerNo(at as u32));
+            server = youngest.or(server);
+        }
+        let (most, sockets) = (self.world.terms.fleet.max_tries, self.world.terms.fleet.sockets);
+        let it = &mut self.gateways[gateway];
+        let Some(open) = it.calls.get_mut(&ask) else { return Ok(()) };
+        let number = open.tries;
+        open.tries += 1;
+        let key = (gateway, it.life, ask, number);
+        let until = if timeout.is_zero() { open.until } else { open.until.min(now + timeout) };
+        let ready = server.filter(|server| it.ready.get(server).copied().unwrap_or(false));
+        let (server, how) = match (server, ready) {
+            (Some(server), Some(_)) => (server, None),
+            (server, _) => (server.unwrap_or(ServerNo(0)), Some(Outcome::NoConnection)),
+        };
+        let over = open.answered || until <= now || number >= most;
+        let how = if over { Some(Outcome::NotSent) } else { how };
+        let warm = match how {
+            None => it.idle.get_mut(&server).and_then(Vec::pop).is_some(),
+            Some(_) => false,
+        };
+        let full = !warm && it.connections >= sockets.div_ceil(3);
+        let how = if full && how.is_none() && !self.make_room(gateway) { Some(Outcome::NotSent) } else { how };
+        let out = Out { server, sent: now, there: None, fresh: !warm };
+        self.gateways[gateway].tries.insert((ask, number), out);
+        if let Some(how) = how {
+            return self.ended(key, how, None, BTreeMap::new(), false);
+        }
+        let way = self.world.way(gateway, server);
+        if !warm {
+            self.gateways[gateway].connections += 1;
+            self.world.connected(now, server);
+        }
+        // A new connection takes a round trip before the command can go out.
+        let arrives = now + if warm { way } else { way * 3 };
+        self.at(arrives, Event::TryArrives { key, server, fresh: !warm });
+        self.at(until, Event::TryTimeUp(key));
+        Ok(())
+    }
+
+    /// The longest idle connection makes room for a new one.
+    fn make_room(&mut self, gateway: usize) -> bool {
+        let it = &mut self.gateways[gateway];
+        let oldest = it.idle.iter().filter_map(|(server, idle)| Some((*idle.first()?, *server))).min();
+        let Some((_, server)) = oldest else { return false };
+        it.idle.get_mut(&server).map(|idle| idle.remove(0));
+        it.connections -= 1;
+        self.world.disconnected(server);
+        true
+    }
+
+    fn try_arrives(&mut self, key: TryKey, server: ServerNo, fresh: bool) -> Result<(), String> {
+        if self.out(key).is_none() {
+            return Ok(());
+        }
+        if self.world.refuses(server) {
+            let way = self.world.way(key.0, server);
+            self.at(self.now + way, Event::Refused(key));
+            return Ok(());
+        }
+        let mut acts = Vec::new();
+        let there = self.world.came(self.now, key.0, server, (key.2, fresh), &mut acts);
+        self.trying.insert(there, key);
+        if let Some(out) = self.gateways[key.0].tries.get_mut(&(key.2, key.3)) {
+            out.there = Some(there);
+        }
+        self.carry(acts)
+    }
+
+    /// The gateway closes a try's connection; the server sees it a way later.
+    fn give_up(&mut self, key: TryKey) {
+        let Some(out) = self.out(key) else { return };
+        let (server, there) = (out.server, out.there);
+        if let Some(there) = there {
+            self.trying.remove(&there);
+            self.at(self.now + self.world.way(key.0, server), Event::TryLeft(there));
+        }
+    }
+
+    fn replied(&mut self, key: TryKey, says: Says) -> Result<(), String> {
+        if self.out(key).is_none() {
+            return Ok(());
+        }
+        match says {
+            Says::Value { units, load } => {
+                let load = load.map_or_else(BTreeMap::new, |load| {
+                    [("inflight", load.inflight as f64), ("queue", load.queue as f64), ("util", load.util)]
+                        .map(|(name, value)| (name.to_string(), value))
+                        .into()
+                });
+                let call = call_id(key.2);
+                self.answer(key.0, &call, Verdict::Served { right: true }, None);
+                self.ended(key, Outcome::Proxied, units, load, true)
+            }
+            Says::Busy => self.ended(key, Outcome::TurnedAway, None, BTreeMap::new(), true),
+            Says::Failed => self.ended(key, Outcome::ServerError, None, BTreeMap::new(), true),
+            // What can't be read ends the connection, and the server may have run it.
+            Says::Spoilt(_) => self.ended(key, Outcome::ServerError, None, BTreeMap::new(), false),
+        }
+    }
+
+    /// A try is over for the gateway; its connection may carry another, or is closed.
+    fn ended(
+        &mut self,
+        key: TryKey,
+        outcome: Outcome,
+        settled: Option<f64>,
+        load: BTreeMap<String, f64>,
+        keep: bool,
+    ) -> Result<(), String> {
+        let (gateway, life, ask, number) = key;
+        let now = self.now;
+        if self.gateways[gateway].life != life {
+            return Ok(());
+        }
+        let it = &mut self.gateways[gateway];
+        let Some(out) = it.tries.remove(&(ask, number)) else { return Ok(()) };
+        let ready = it.ready.get(&out.server).copied().unwrap_or(false);
+        let connected = !matches!(outcome, Outcome::NotSent) && (out.there.is_some() || !out.fresh);
+        if keep && ready {
+            it.idle.entry(out.server).or_default().push(now);
+        } else if connected || out.fresh && !matches!(outcome, Outcome::NotSent) {
+            it.connections = it.connections.saturating_sub(1);
+            self.world.disconnected(out.server);
+        }
+        let it = &mut self.gateways[gateway];
+        let mut closed = true;
+        if let Some(open) = it.calls.get_mut(&ask) {
+            open.ended += 1;
+            closed = open.answered;
+            if open.answered && open.ended >= open.tries {
+                it.calls.remove(&ask);
+            }
+        }
+        let again = self.fault == Some(Fault::SendsAgain) && !closed;
+        let again = again && matches!(outcome, Outcome::Broken | Outcome::TimedOut | Outcome::ServerError);
+        if again {
+            let at = self.world.servers[out.server.0 as usize].uid.as_str().into();
+            self.send(gateway, ask, &at, Duration::ZERO)?;
+        }
+        let latency = now.saturating_sub(out.sent);
+        let end = Ended { outcome, latency, closed, settled, load };
+        self.hand(gateway, News::Ended(call_id(ask), TryNumber(number), end))
+    }
+}
--- /dev/null
+++ b/lab/src/world/agenda.rs
@@ -0,0 +1,60 @@
+//! What falls due in the world, in one ordered structure.
+
+use super::{AskId, CountId, OriginId, ServerNo, TryId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug)]
+pub enum Due {
+    /// The next API call that no answer waits for.
+    Arrival,
+    /// One of the recorded ones.
+    Replayed(usize),
+    /// A client asks again.
+    Again(OriginId),
+    /// A client's patience, and the end of its time.
+    Leaves(AskId),
+    TimeUp(AskId),
+    /// A server has done a try's work.
+    Served(ServerNo, TryId),
+    /// What a server says has come where it is heard.
+    Said(TryId),
+    /// A line of the counter is done with a call.
+    Counted(CountId),
+    /// A change of the list reaches a gateway.
+    Told { gateway: usize, change: usize },
+    /// A trouble begins, takes a step, ends.
+    Trouble { place: usize, step: usize },
+    TroubleEnds(usize),
+    /// A server that was down is back.
+    Returns(ServerNo),
+    /// A server that was to leave is done.
+    Retires(ServerNo),
+    /// A gateway that was told to stop is killed, and one that was killed starts.
+    Kill(usize),
+    Start(usize),
+}
+
+#[derive(Default)]
+pub struct Agenda {
+    due: BTreeMap<(Duration, u64), Due>,
+    last: u64,
+}
+
+impl Agenda {
+    pub fn at(&mut self, when: Duration, due: Due) {
+        self.last += 1;
+        self.due.insert((when, self.last), due);
+    }
+
+    pub fn next(&self) -> Option<Duration> {
+        self.due.keys().next().map(|key| key.0)
+    }
+
+    /// What is due by now, and when it was.
+    pub fn pop(&mut self, now: Duration) -> Option<(Duration, Due)> {
+        let first = self.due.first_entry().filter(|entry| entry.key().0 <= now)?;
+        let when = first.key().0;
+        Some((when, first.remove()))
+    }
+}
--- /dev/null
+++ b/lab/src/world/mod.rs
@@ -0,0 +1,892 @@
+//! The world in which gateways serve: app servers, the counter, the server list, clients, the network between
+//! gateways, and the troubles of a day. No I/O and no clock: an engine tells it what has come and what time it
+//! is, asks it what is due, and carries out the [`Act`]s it leaves. Both engines play this one world.
+
+pub mod agenda;
+pub mod clients;
+pub mod counter;
+pub mod purse;
+pub mod server;
+mod troubles;
+
+use crate::experiment::Experiment;
+use crate::measure::Measure;
+use crate::record::Recorded;
+use crate::referee::{Referee, TryEnd, Verdict};
+use agenda::{Agenda, Due};
+use clients::Clients;
+use counter::{Call, Counter, CounterSays, Turn};
+use nanorand::{Rng, WyRand};
+use server::{Build, Health, Listing, Report, Server, Taken, Task};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+macro_rules! id {
+    ($($(#[$about:meta])* $name:ident),* $(,)?) => {$(
+        $(#[$about])*
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+        pub struct $name(pub u32);
+    )*};
+}
+id!(
+    /// One asking of a client; each of its retries is a new one.
+    AskId,
+    /// What a client wants, however often it asks.
+    OriginId,
+    /// One upstream try, as a server sees it.
+    TryId,
+    /// One call on a counter.
+    CountId,
+    /// A server by its place in the world; a new one takes a new place.
+    ServerNo,
+);
+
+/// What an engine has to carry out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// A client sends this to its gateway.
+    Ask(AskId),
+    /// A client has no patience left and closes its connection.
+    Leave(AskId),
+    /// A server answers a try, or ends its connection.
+    Reply(TryId, Says),
+    /// The counter answers a call.
+    Counted(CountId, CounterSays),
+    /// The gateway is told of the list's changes up to and without this one.
+    Told { gateway: usize, upto: usize },
+    /// A server is new, refuses connections and resets the open ones, or is there again.
+    Born(ServerNo),
+    Down(ServerNo),
+    Up(ServerNo),
+    /// A gateway is killed, told to stop, started, told that discovery and counter have moved.
+    Kill(usize),
+    Stop(usize),
+    Start(usize),
+    Move(usize),
+    /// Connections of the counter are reset.
+    CounterCut,
+    /// So many clients come that send what cannot be read.
+    BadClients(usize),
+}
+
+/// What a server says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Says {
+    Value { units: Option<f64>, load: Option<Report> },
+    Busy,
+    Failed,
+    /// Something that cannot be read; which kind of it.
+    Spoilt(u32),
+}
+
+pub struct Ask {
+    pub origin: OriginId,
+    pub gateway: usize,
+    /// When it was meant to be sent: latency counts from here.
+    pub born: Duration,
+    pub until: Duration,
+    pub left: bool,
+    pub over: bool,
+    pub sent_on: bool,
+}
+
+pub struct Try {
+    pub ask: AskId,
+    pub server: ServerNo,
+    pub gateway: usize,
+    life: u32,
+    ended: bool,
+    says: Option<Says>,
+    report: Option<Report>,
+}
+
+/// One change of the server list.
+#[derive(Clone, Debug)]
+pub struct Change {
+    pub server: ServerNo,
+    pub listing: Listing,
+    pub started: Option<Duration>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum GatewayState {
+    /// Not ready yet.
+    Starting,
+    Ready,
+    /// Told to stop.
+    Stopping,
+    Down,
+}
+
+struct Gateway {
+    state: GatewayState,
+    since: Duration,
+    /// The latest moment at which a change was or will be told, as changes come in order.
+    told: Duration,
+    upto: usize,
+    counter: usize,
+    /// Datagrams it may still take in.
+    taken: f64,
+    filled: Duration,
+}
+
+pub struct World {
+    pub terms: Experiment,
+    pub servers: Vec<Server>,
+    pub clients: Clients,
+    pub asks: Vec<Ask>,
+    pub tries: Vec<Try>,
+    pub changes: Vec<Change>,
+    pub referee: Referee,
+    pub measure: Measure,
+    agenda: Agenda,
+    counters: Vec<Counter>,
+    counts: BTreeMap<CountId, Call>,
+    next_count: u32,
+    gateways: Vec<Gateway>,
+    replay: Vec<Recorded>,
+    replay_accounts: BTreeMap<u64, usize>,
+    /// How much later answers leave than the work is done: what the engine does not carry itself.
+    lag: bool,
+    chance: WyRand,
+    length: Duration,
+    slack: Duration,
+    /// Troubles that hold now.
+    silent_list: Duration,
+    late_list: (Duration, f64),
+    spoilt: (Duration, f64),
+    cut: Vec<(usize, Duration)>,
+    deaf: (Duration, f64),
+    scan: Vec<(Duration, Duration, f64)>,
+    taken_servers: BTreeMap<usize, Vec<ServerNo>>,
+    last_busy: Vec<f64>,
+    next_busy: u64,
+}
+
+fn secs(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.clamp(0.0, 1e9))
+}
+
+fn ms(milliseconds: f64) -> Duration {
+    secs(milliseconds / 1e3)
+}
+
+impl World {
+    /// `lag`: the engine carries messages at once, so the way there and back is added to answers here.
+    /// `slack`: what the referee allows for what is under way.
+    pub fn new(terms: &Experiment, seed: u64, lag: bool, slack: Duration, replay: Vec<Recorded>) -> World {
+        let length = secs(terms.seconds);
+        let mut world = World {
+            servers: Vec::new(),
+            clients: Clients::new(terms, seed),
+            asks: Vec::new(),
+            tries: Vec::new(),
+            changes: Vec::new(),
+            referee: Referee::new(terms, slack),
+            measure: Measure::new(secs(terms.warm_up), length),
+            agenda: Agenda::default(),
+            counters: Vec::new(),
+            counts: BTreeMap::new(),
+            next_count: 0,
+            gateways: Vec::new(),
+            replay,
+            replay_accounts: BTreeMap::new(),
+            lag,
+            chance: WyRand::new_seed(seed ^ 0xc4),
+            length,
+            slack,
+            silent_list: Duration::ZERO,
+            late_list: (Duration::ZERO, 0.0),
+            spoilt: (Duration::ZERO, 0.0),
+            cut: Vec::new(),
+            deaf: (Duration::ZERO, 0.0),
+            scan: Vec::new(),
+            taken_servers: BTreeMap::new(),
+            last_busy: Vec::new(),
+            next_busy: 1,
+            terms: terms.clone(),
+        };
+        world.counters = vec![Counter::new(&world.counter_terms()), Counter::new(&world.counter_terms())];
+        for _ in 0..terms.fleet.gateways {
+            world.gateways.push(Gateway {
+                state: GatewayState::Starting,
+                since: Duration::ZERO,
+                told: Duration::ZERO,
+                upto: 0,
+                counter: 0,
+                taken: terms.network.peer_rate,
+                filled: Duration::ZERO,
+            });
+        }
+        let all: f64 = terms.fleet.kinds.iter().map(|kind| kind.share).sum();
+        for place in 0..terms.fleet.servers {
+            // Kinds in their shares, spread over the zones alike.
+            let at = (place as f64 + 0.5) / terms.fleet.servers as f64 * all;
+            let mut sum = 0.0;
+            let found = terms.fleet.kinds.iter().position(|kind| {
+                sum += kind.share;
+                at < sum
+            });
+            world.build(place % terms.fleet.zones, found.unwrap_or(0));
+        }
+        for account in 0..world.clients.accounts.len() {
+            world.referee.account(account as u32, world.clients.accounts[account].plan);
+        }
+        world
+    }
+
+    /// A new server: listed, and of no age.
+    fn build(&mut self, zone: usize, kind: usize) -> ServerNo {
+        let (fleet, place) = (&self.terms.fleet, self.servers.len());
+        let it = &fleet.kinds[kind];
+        let build = Build {
+            cores: it.cores,
+            speed: it.speed,
+            queue: fleet.queue,
+            cold_from: fleet.cold_from,
+            cold: fleet.cold,
+            fall_multiple: fleet.fall_multiple,
+            overload_for: secs(fleet.overload_for),
+        };
+        let (cell, uid) = (place as u64 % fleet.cells, format!("box-{place:04}"));
+        self.servers.push(Server::new(uid, zone, cell, it.name.clone(), build));
+        self.last_busy.push(0.0);
+        let server = ServerNo(place as u32);
+        self.referee.server(server, cell, zone);
+        let started = self.servers[place].started;
+        self.changes.push(Change { server, listing: Listing::Active, started });
+        server
+    }
+
+    /// The day begins; the gateways' first list is what stands now.
+    pub fn begin(&mut self) {
+        for gateway in &mut self.gateways {
+            gateway.upto = self.changes.len();
+        }
+        for place in 0..self.terms.troubles.len() {
+            self.expect(place);
+        }
+        if self.replay.is_empty() {
+            self.next_arrival(Duration::ZERO);
+        } else {
+            for (place, recorded) in self.replay.iter().enumerate() {
+                self.agenda.at(recorded.at, Due::Replayed(place));
+            }
+        }
+    }
+
+    pub fn next_due(&self) -> Option<Duration> {
+        self.agenda.next()
+    }
+
+    /// When all is over, the last answers included.
+    pub fn end(&self) -> Duration {
+        let longest = self.terms.routes.iter().map(|route| route.client_timeout).fold(0.0, f64::max);
+        self.length + secs(longest) + self.slack + ms(200.0)
+    }
+
+    pub fn length(&self) -> Duration {
+        self.length
+    }
+
+    fn counter_terms(&self) -> counter::Terms {
+        let it = &self.terms.counter;
+        counter::Terms { parts: it.parts, bears: it.bears, latency: ms(it.latency_ms), queue: it.queue }
+    }
+
+    /// One way between a gateway and a server.
+    pub fn way(&self, gateway: usize, server: ServerNo) -> Duration {
+        let near = gateway % self.terms.fleet.zones == self.servers[server.0 as usize].zone;
+        ms(if near { self.terms.network.near_ms } else { self.terms.network.far_ms })
+    }
+
+    pub fn near(&self) -> Duration {
+        ms(self.terms.network.near_ms)
+    }
+
+    fn lag(&self, way: Duration) -> Duration {
+        if self.lag {
+            way * 2
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// Does what is due by now.
+    pub fn advance(&mut self, now: Duration, acts: &mut Vec<Act>) {
+        while let Some((when, due)) = self.agenda.pop(now) {
+            self.count_busy(when);
+            match due {
+                Due::Arrival => self.arrival(when, acts),
+                Due::Replayed(place) => self.replayed(when, place, acts),
+                Due::Again(origin) => self.ask(when, origin, acts),
+                Due::Leaves(ask) => self.leaves(when, ask, acts),
+                Due::TimeUp(ask) => self.time_up(when, ask),
+                Due::Served(server, of) => self.served(when, server, of),
+                Due::Said(of) => self.said(when, of, acts),
+                Due::Counted(count) => self.counted(when, count, acts),
+                Due::Told { gateway, change } => self.tell(when, gateway, change, acts),
+                Due::Trouble { place, step } => self.trouble(when, place, step, acts),
+                Due::TroubleEnds(place) => self.trouble_ends(when, place, acts),
+                Due::Returns(server) => self.returns(when, server, acts),
+                Due::Retires(server) => self.retires(when, server, acts),
+                Due::Kill(gateway) => self.kill(when, gateway, acts),
+                Due::Start(gateway) => self.start(when, gateway, acts),
+            }
+        }
+        self.count_busy(now);
+    }
+
+    /// Once a second what each server was busy is noted; the referee forgets what is long over.
+    fn count_busy(&mut self, now: Duration) {
+        while now.as_secs() >= self.next_busy {
+            for (place, server) in self.servers.iter().enumerate() {
+                let spent = server.busy - self.last_busy[place];
+                let load = self.measure.busy.entry(place as u32).or_default();
+                load.resize(self.next_busy as usize - 1, 0.0);
+                load.push((spent / server.build.cores as f64) as f32);
+                self.last_busy[place] = server.busy;
+            }
+            let long = Duration::from_secs(30);
+            self.referee.forget(Duration::from_secs(self.next_busy).saturating_sub(long));
+            self.next_busy += 1;
+        }
+    }
+
+    // ---- clients ----
+
+    fn next_arrival(&mut self, now: Duration) {
+        if let Some(next) = self.clients.next(now).filter(|next| *next < self.length) {
+            self.agenda.at(next, Due::Arrival);
+        }
+    }
+
+    fn arrival(&mut self, now: Duration, acts: &mut Vec<Act>) {
+        if let Some(mut account) = self.clients.arrives(now) {
+            let strange = self.scan.iter().find(|(from, to, _)| (*from..*to).contains(&now)).map(|it| it.2);
+            if strange.is_some_and(|share| self.chance.generate::<f64>() < share) {
+                account = self.clients.stranger(&self.terms, self.clients.accounts[account].plan);
+                self.referee.account(account as u32, self.clients.accounts[account].plan);
+            }
+            let origin = self.clients.want(now, account, &self.terms);
+            self.wanted(now, origin, acts);
+        }
+        self.next_arrival(now);
+    }
+
+    fn replayed(&mut self, now: Duration, place: usize, acts: &mut Vec<Act>) {
+        let recorded = self.replay[place].clone();
+        let Some(route) = self.terms.route(&recorded.route) else { return };
+        let Some(plan) = self.terms.plan(&recorded.plan) else { return };
+        let account = match self.replay_accounts.get(&recorded.account) {
+            Some(account) => *account,
+            None => {
+                let account = self.clients.stranger(&self.terms, plan);
+                self.clients.accounts[account].name = recorded.account;
+                self.referee.account(account as u32, plan);
+                self.replay_accounts.insert(recorded.account, account);
+                account
+            }
+        };
+        let units = recorded.units.clamp(1.0, f64::from(self.terms.load.units_top));
+        let origin = self.clients.wants(now, account, route, units, &self.terms);
+        self.wanted(now, origin, acts);
+    }
+
+    fn value(&self, origin: usize) -> f64 {
+        let it = &self.clients.origins[origin];
+        let plan = &self.terms.plans[self.clients.accounts[it.account as usize].plan];
+        self.terms.routes[it.route].billed_value * plan.price * it.units
+    }
+
+    /// Something new is wanted: what is inside the quota counts as asked for.
+    fn wanted(&mut self, now: Duration, origin: usize, acts: &mut Vec<Act>) {
+        if self.clients.origins[origin].inside {
+            self.measure.at(now).value_asked += self.value(origin);
+        }
+        self.ask(now, OriginId(origin as u32), acts);
+    }
+
+    /// A client asks, at the gateway that the front leads it to.
+    fn ask(&mut self, now: Duration, id: OriginId, acts: &mut Vec<Act>) {
+        let (account, route) = {
+            let origin = &self.clients.origins[id.0 as usize];
+            if origin.done || now >= self.length {
+                return;
+            }
+            (origin.account as usize, origin.route)
+        };
+        self.measure.at(now).asked += 1;
+        let notices = secs(self.terms.load.front_notices);
+        let order = self.clients.order(account, now);
+        let led = order.into_iter().find(|gateway| {
+            let it = &self.gateways[*gateway];
+            match it.state {
+                GatewayState::Ready => true,
+                GatewayState::Down => now < it.since + notices,
+                GatewayState::Stopping => now < it.since + ms(300.0),
+                GatewayState::Starting => false,
+            }
+        });
+        let there = led.filter(|gateway| self.gateways[*gateway].state != GatewayState::Down);
+        let Some(gateway) = there else {
+            self.measure.at(now).unreached += 1;
+            return self.again(now, id, None);
+        };
+        let timeout = secs(self.terms.routes[route].client_timeout);
+        let (until, ask) = (now + timeout, AskId(self.asks.len() as u32));
+        self.asks.push(Ask {
+            origin: id,
+            gateway,
+            born: now,
+            until,
+            left: false,
+            over: false,
+            sent_on: false,
+        });
+        let patience = self.terms.load.patience * self.clients.pressure.patience;
+        let patience = patience + (1.0 - patience) * self.chance.generate::<f64>();
+        if patience < 1.0 {
+            self.agenda.at(now + timeout.mul_f64(patience), Due::Leaves(ask));
+        }
+        self.agenda.at(until + self.slack, Due::TimeUp(ask));
+        acts.push(Act::Ask(ask));
+    }
+
+    /// The gateway has taken it: from now on an answer is owed.
+    pub fn taken(&mut self, ask: AskId) {
+        let it = &self.asks[ask.0 as usize];
+        let origin = &self.clients.origins[it.origin.0 as usize];
+        self.referee.asked(ask, it.gateway, origin.route, origin.account, origin.units, it.until);
+    }
+
+    /// No gateway has taken it: its process has gone.
+    pub fn not_taken(&mut self, now: Duration, ask: AskId) {
+        let it = &mut self.asks[ask.0 as usize];
+        if it.over {
+            return;
+        }
+        it.over = true;
+        let origin = it.origin;
+        self.measure.at(now).unreached += 1;
+        self.again(now, origin, None);
+    }
+
+    /// The client comes again, if it does: when it was told to, or after a wait of its own.
+    fn again(&mut self, now: Duration, id: OriginId, advice: Option<Duration>) {
+        let load = &self.terms.load;
+        let origin = &mut self.clients.origins[id.0 as usize];
+        if origin.retries >= load.retries || origin.done {
+            return;
+        }
+        origin.retries += 1;
+        let heeds = self.clients.accounts[origin.account as usize].heeds;
+        let heeds = heeds && self.chance.generate::<f64>() >= self.clients.pressure.heedless;
+        let own = secs(load.retry_wait).mul_f64(0.5 + self.chance.generate::<f64>());
+        let wait = advice.filter(|_| heeds).unwrap_or(own);
+        self.agenda.at(now + wait, Due::Again(id));
+    }
+
+    fn leaves(&mut self, now: Duration, ask: AskId, acts: &mut Vec<Act>) {
+        let it = &mut self.asks[ask.0 as usize];
+        if it.over {
+            return;
+        }
+        (it.left, it.over) = (true, true);
+        let origin = it.origin;
+        self.referee.left(ask);
+        self.measure.at(now).unanswered += 1;
+        acts.push(Act::Leave(ask));
+        self.again(now, origin, None);
+    }
+
+    fn time_up(&mut self, now: Duration, ask: AskId) {
+        self.referee.time_up(now, ask);
+        let it = &mut self.asks[ask.0 as usize];
+        if !it.over {
+            it.over = true;
+            let origin = it.origin;
+            self.measure.at(now).unanswered += 1;
+            self.again(now, origin, None);
+        }
+    }
+
+    /// A client has heard: the value's key if it was served, or how long to wait if it was told.
+    pub fn answered(&mut self, now: Duration, ask: AskId, verdict: Verdict, advice: Option<Duration>) {
+        self.referee.answered(now, ask, verdict);
+        let it = &mut self.asks[ask.0 as usize];
+        if it.over {
+            return;
+        }
+        it.over = true;
+        let (id, took) = (it.origin, now.saturating_sub(it.born));
+        let origin = &self.clients.origins[id.0 as usize];
+        let (account, units) = (origin.account as usize, origin.units);
+        match verdict {
+            Verdict::Served { .. } => {
+                self.measure.proxied(now, took);
+                let route = &self.terms.routes[origin.route];
+                let worth = if took <= secs(route.latency_target) { 1.0 } else { route.late_worth };
+                let (born, first) = (it.born, !origin.earned && origin.inside);
+                if first {
+                    let value = self.value(id.0 as usize);
+                    self.measure.at(born).value_in_time += value * worth;
+                }
+                let origin = &mut self.clients.origins[id.0 as usize];
+                (origin.earned, origin.done) = (true, true);
+            }
+            Verdict::Limited => {
+                self.measure.limited(now, took);
+                let cap = self.terms.plans[self.clients.accounts[account].plan].cap;
+                let it = &mut self.clients.accounts[account];
+                let room = it.sent.holds(now, units) && (cap <= 0.0 || it.out < cap);
+                let half = it.sent.holds(now, units.max(it.sent.depth / 2.0)) && (cap <= 0.0 || it.out < cap / 2.0);
+                let second = self.measure.at(now);
+                second.limited_with_room += u64::from(room);
+                second.limited_half_unused += u64::from(half);
+                self.again(now, id, advice);
+            }
+            Verdict::Errored | Verdict::Cut => {
+                self.measure.errored(now, took);
+                self.again(now, id, None);
+            }
+        }
+    }
+
+    // ---- servers ----
+
+    /// Whether a gateway and a server can hear each other.
+    fn apart(&self, now: Duration, gateway: usize, zone: usize) -> bool {
+        let at = gateway % self.terms.fleet.zones;
+        at != zone && self.cut.iter().any(|(cut, until)| now < *until && (at == *cut || zone == *cut))
+    }
+
+    /// Whether a new connection is refused; one that is not may still be met by silence.
+    pub fn refuses(&self, server: ServerNo) -> bool {
+        let it = &self.servers[server.0 as usize];
+        matches!(it.health, Health::Down | Health::Fallen)
+    }
+
+    pub fn connected(&mut self, now: Duration, server: ServerNo) {
+        self.measure.at(now).connections += 1;
+        self.servers[server.0 as usize].connections += 1;
+    }
+
+    pub fn disconnected(&mut self, server: ServerNo) {
+        let it = &mut self.servers[server.0 as usize];
+        it.connections = it.connections.saturating_sub(1);
+    }
+
+    /// A try has come whole, over a fresh connection or one in use.
+    pub fn came(
+        &mut self,
+        now: Duration,
+        gateway: usize,
+        server: ServerNo,
+        (ask, fresh): (AskId, bool),
+        acts: &mut Vec<Act>,
+    ) -> TryId {
+        let id = TryId(self.tries.len() as u32);
+        let life = self.servers[server.0 as usize].life;
+        self.tries.push(Try { ask, server, gateway, life, ended: false, says: None, report: None });
+        self.measure.at(now).tries += 1;
+        self.referee.came(now, id, ask, gateway, server);
+        let it = &mut self.asks[ask.0 as usize];
+        let (first, born) = (!std::mem::replace(&mut it.sent_on, true), it.born);
+        let origin = &self.clients.origins[it.origin.0 as usize];
+        let (account, units, work, key, route) =
+            (origin.account as usize, origin.units, origin.work, origin.key, origin.route);
+        self.clients.accounts[account].out += 1.0;
+        if first {
+            self.measure.first_try(now, now.saturating_sub(born));
+            self.sent_on(now, account, units, route);
+        }
+        let silent = self.servers[server.0 as usize].health == Health::Silent;
+        let apart = self.apart(now, gateway, self.servers[server.0 as usize].zone);
+        if silent || apart || self.servers[server.0 as usize].mute.contains(&route) {
+            return id;
+        }
+        let terms = &self.terms.routes[route];
+        let memory = secs(terms.memory);
+        let fleet = &self.terms.fleet;
+        let it = &mut self.servers[server.0 as usize];
+        if it.connections > fleet.connections {
+            self.will_say(now, id, Says::Busy);
+            return id;
+        }
+        if terms.memory > 0.0 {
+            if it.tokens.get(&key).is_some_and(|begun| *begun + memory >= now) {
+                // A repeat: dropped, and answered with what was made before.
+                self.will_say(now, id, Says::Value { units: None, load: None });
+                return id;
+            }
+            it.tokens.insert(key, now);
+            if it.tokens.len() > 4096 {
+                it.tokens.retain(|_, begun| *begun + memory >= now);
+            }
+        }
+        let handshake = if fresh { fleet.handshake_ms / 1e3 } else { 0.0 };
+        let task = Task { of: id, work: work + handshake };
+        let fallen = it.health;
+        match it.take(now, task) {
+            Taken::Begun(done) => self.agenda.at(done, Due::Served(server, id)),
+            Taken::Waits => (),
+            Taken::TurnedAway => self.will_say(now, id, Says::Busy),
+        }
+        if fallen == Health::Up && self.servers[server.0 as usize].health == Health::Fallen {
+            self.referee.fell(now, server);
+            self.servers[server.0 as usize].crash(Health::Fallen);
+            acts.push(Act::Down(server));
+        }
+        id
+    }
+
+    /// A first try takes its units from the quota, as it truly is.
+    fn sent_on(&mut self, now: Duration, account: usize, units: f64, route: usize) {
+        let it = &mut self.clients.accounts[account];
+        let plan = &self.terms.plans[it.plan];
+        let fits = it.sent.pay(now, units);
+        let value = self.terms.routes[route].billed_value * plan.price * units;
+        let second = self.measure.at(now);
+        second.units += units;
+        if !fits {
+            second.beyond += units;
+            second.beyond_cost += value * plan.over_cost;
+        }
+    }
+
+    /// The gateway has given a try up, or its connection has gone.
+    pub fn left(&mut self, now: Duration, of: TryId) {
+        let it = &self.tries[of.0 as usize];
+        let (server, life) = (it.server, it.life);
+        if it.ended {
+            return;
+        }
+        self.ended(now, of, TryEnd::GivenUp);
+        let at = &mut self.servers[server.0 as usize];
+        if at.life == life && (!at.give_up(of) || self.terms.fleet.stops_work) {
+            self.next_at(now, server, of);
+        }
+    }
+
+    fn next_at(&mut self, now: Duration, server: ServerNo, of: TryId) {
+        if let Some((next, done)) = self.servers[server.0 as usize].over(now, of) {
+            self.agenda.at(done, Due::Served(server, next));
+        }
+    }
+
+    fn ended(&mut self, now: Duration, of: TryId, end: TryEnd) {
+        let it = &mut self.tries[of.0 as usize];
+        if std::mem::replace(&mut it.ended, true) {
+            return;
+        }
+        let ask = it.ask;
+        let account = self.clients.origins[self.asks[ask.0 as usize].origin.0 as usize].account;
+        self.clients.accounts[account as usize].out -= 1.0;
+        self.referee.over(now, of, ask, end);
+    }
+
+    /// A server is done with a try's work.
+    fn served(&mut self, now: Duration, server: ServerNo, of: TryId) {
+        let it = &self.tries[of.0 as usize];
+        let at = &mut self.servers[server.0 as usize];
+        if it.life != at.life {
+            return;
+        }
+        let every = secs(self.terms.fleet.report_every);
+        let report = (!every.is_zero()).then(|| at.report(now, every));
+        let (failing, silent) = (at.failing, at.health == Health::Silent);
+        self.next_at(now, server, of);
+        if silent || self.tries[of.0 as usize].ended {
+            return;
+        }
+        let origin = &self.clients.origins[self.asks[self.tries[of.0 as usize].ask.0 as usize].origin.0 as usize];
+        let (units, account) = (origin.true_units, origin.account as usize);
+        let asked = origin.units;
+        let drawn = self.chance.generate::<f64>();
+        let spoilt = if now < self.spoilt.0 { self.spoilt.1 } else { 0.0 };
+        let says = if drawn < failing {
+            Says::Failed
+        } else if self.chance.generate::<f64>() < spoilt {
+            Says::Spoilt(self.chance.generate::<u32>() % 6)
+        } else {
+            self.clients.accounts[account].sent.settle(now, units - asked);
+            Says::Value { units: self.terms.load.settles.then_some(units), load: report }
+        };
+        self.tries[of.0 as usize].report = report;
+        self.will_say(now, of, says);
+    }
+
+    /// What a server says arrives after the way back, where the engine does not add that itself.
+    fn will_say(&mut self, now: Duration, of: TryId, says: Says) {
+        let it = &mut self.tries[of.0 as usize];
+        it.says = Some(says);
+        let (gateway, server) = (it.gateway, it.server);
+        let lag = self.lag(self.way(gateway, server));
+        self.agenda.at(now + lag, Due::Said(of));
+    }
+
+    fn said(&mut self, now: Duration, of: TryId, acts: &mut Vec<Act>) {
+        let it = &self.tries[of.0 as usize];
+        let (Some(says), false) = (it.says, it.ended) else { return };
+        if self.apart(now, it.gateway, self.servers[it.server.0 as usize].zone) {
+            return;
+        }
+        let end = match says {
+            Says::Busy => TryEnd::TurnedAway,
+            _ => TryEnd::Answered,
+        };
+        self.ended(now, of, end);
+        acts.push(Act::Reply(of, says));
+    }
+
+    /// Whether a try is still out, as far as its server goes.
+    pub fn is_out(&self, of: TryId) -> bool {
+        !self.tries[of.0 as usize].ended
+    }
+
+    // ---- the counter ----
+
+    /// A call has come; nothing is answered if it is silent.
+    pub fn count(
+        &mut self,
+        now: Duration,
+        gateway: usize,
+        name: u64,
+        add: f64,
+        keep: Duration,
+        acts: &mut Vec<Act>,
+    ) -> CountId {
+        self.next_count += 1;
+        let id = CountId(self.next_count);
+        self.measure.at(now).counter_calls += 1;
+        let counter = self.gateways[gateway].counter;
+        let call = Call { gateway, counter, name, add, keep: keep.min(Duration::from_secs(60)) };
+        let terms = self.counter_terms();
+        match self.counters[counter].take(now, &call, &terms) {
+            Turn::At(when) => {
+                self.counts.insert(id, call);
+                self.agenda.at(when + self.lag(self.near()), Due::Counted(id));
+            }
+            Turn::Now(says) => acts.push(Act::Counted(id, says)),
+            Turn::Never => (),
+        }
+        id
+    }
+
+    fn counted(&mut self, now: Duration, id: CountId, acts: &mut Vec<Act>) {
+        let Some(call) = self.counts.remove(&id) else { return };
+        let counter = &mut self.counters[call.counter];
+        if counter.mode == counter::Mode::Silent {
+            return;
+        }
+        let total = counter.add(now, &call);
+        acts.push(Act::Counted(id, CounterSays::Total(total)));
+    }
+
+    // ---- the list ----
+
+    /// The list changes; each gateway hears of it in its own time.
+    fn change(&mut self, now: Duration, server: ServerNo, listing: Listing) {
+        let started = self.servers[server.0 as usize].started;
+        let change = self.changes.len();
+        self.changes.push(Change { server, listing, started });
+        let more = if now < self.late_list.0 { self.late_list.1 } else { 0.0 };
+        for gateway in 0..self.gateways.len() {
+            let late = self.terms.discovery.late * self.chance.generate::<f64>() + more;
+            let when = (now + secs(late)).max(self.gateways[gateway].told);
+            self.gateways[gateway].told = when;
+            self.agenda.at(when, Due::Told { gateway, change });
+        }
+    }
+
+    fn tell(&mut self, now: Duration, gateway: usize, change: usize, acts: &mut Vec<Act>) {
+        if now < self.silent_list {
+            return self.agenda.at(self.silent_list, Due::Told { gateway, change });
+        }
+        let it = &mut self.gateways[gateway];
+        if it.upto > change {
+            return;
+        }
+        it.upto = change + 1;
+        if it.state != GatewayState::Down {
+            acts.push(Act::Told { gateway, upto: change + 1 });
+        }
+    }
+
+    /// How much of the list a gateway has been told so far.
+    pub fn upto(&self, gateway: usize) -> usize {
+        self.gateways[gateway].upto
+    }
+
+    /// The list as it stands after so many changes: each server's latest line, but for those that have left.
+    pub fn list(&self, upto: usize) -> Vec<Change> {
+        let mut list: BTreeMap<ServerNo, &Change> = BTreeMap::new();
+        for change in &self.changes[..upto] {
+            list.insert(change.server, change);
+        }
+        list.into_values().filter(|it| it.listing != Listing::Left).cloned().collect()
+    }
+
+    /// Changes were written to a gateway.
+    pub fn told(&mut self, now: Duration, gateway: usize, changes: &[Change]) {
+        for change in changes {
+            self.referee.told(now, gateway, change.server, change.listing == Listing::Active);
+        }
+    }
+
+    // ---- gateways ----
+
+    /// A gateway serves from now on.
+    pub fn ready(&mut self, now: Duration, gateway: usize) {
+        let it = &mut self.gateways[gateway];
+        (it.state, it.since) = (GatewayState::Ready, now);
+    }
+
+    /// A gateway's process has ended by itself.
+    pub fn ended_by_itself(&mut self, now: Duration, gateway: usize) {
+        let it = &mut self.gateways[gateway];
+        if it.state != GatewayState::Down {
+            (it.state, it.since) = (GatewayState::Down, now);
+        }
+    }
+
+    pub fn state(&self, gateway: usize) -> GatewayState {
+        self.gateways[gateway].state
+    }
+
+    fn kill(&mut self, now: Duration, gateway: usize, acts: &mut Vec<Act>) {
+        let it = &mut self.gateways[gateway];
+        (it.state, it.since) = (GatewayState::Down, now);
+        self.referee.killed(gateway);
+        acts.push(Act::Kill(gateway));
+    }
+
+    fn start(&mut self, now: Duration, gateway: usize, acts: &mut Vec<Act>) {
+        let it = &mut self.gateways[gateway];
+        (it.state, it.since) = (GatewayState::Starting, now);
+        self.referee.started(gateway);
+        acts.push(Act::Start(gateway));
+    }
+
+    /// A datagram from one gateway to another: after how long it arrives, if it does.
+    pub fn datagram(&mut self, now: Duration, from: usize, to: usize) -> Option<Duration> {
+        self.measure.at(now).datagrams += 1;
+        let net = &self.terms.network;
+        let (lost, deaf) = (net.lost, if now < self.deaf.0 { self.deaf.1 } else { 0.0 });
+        let late = ms(net.peer_late_ms * self.chance.generate::<f64>()) + self.near();
+        let drawn = self.chance.generate::<f64>();
+        if drawn < lost.max(deaf) || self.apart(now, from, to % self.terms.fleet.zones) {
+            return None;
+        }
+        let rate = self.terms.network.peer_rate;
+        let it = &mut self.gateways[to];
+        it.taken = (it.taken + now.saturating_sub(it.filled).as_secs_f64() * rate).min(rate);
+        it.filled = now;
+        if it.taken < 1.0 || it.state == GatewayState::Down {
+            return None;
+        }
+        it.taken -= 1.0;
+        Some(late)
+    }
+}
--- /dev/null
+++ b/lab/src/world/server.rs
@@ -0,0 +1,250 @@
+//! One app server: cores, a queue, warmth, and what may be wrong with it. Knows nothing of sockets.
+
+use super::TryId;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// How a server can be reached.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Health {
+    Up,
+    /// Takes all that comes and says nothing.
+    Silent,
+    /// Connections are refused, open ones are reset.
+    Down,
+    /// Pushed over while it was cold: down for good.
+    Fallen,
+}
+
+/// What the list says of it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Listing {
+    Active,
+    Leaving,
+    Left,
+}
+
+/// What a server is told of a try that comes.
+pub struct Task {
+    pub of: TryId,
+    /// Seconds of a core of speed 1.
+    pub work: f64,
+}
+
+/// Kinds, rules and limits, as all servers have them.
+pub struct Build {
+    pub cores: usize,
+    pub speed: f64,
+    pub queue: usize,
+    pub cold_from: f64,
+    pub cold: f64,
+    pub fall_multiple: f64,
+    pub overload_for: Duration,
+}
+
+pub struct Server {
+    pub uid: String,
+    pub zone: usize,
+    pub cell: u64,
+    pub kind: String,
+    pub build: Build,
+    pub health: Health,
+    pub listing: Listing,
+    /// Of this life; none: long ago.
+    pub started: Option<Duration>,
+    pub slow: f64,
+    /// Share of its answers that are errors.
+    pub failing: f64,
+    /// Routes that it leaves unanswered.
+    pub mute: Vec<usize>,
+    pub connections: usize,
+    /// Changes with each life: what was promised in an earlier one is not kept.
+    pub life: u32,
+    running: Vec<TryId>,
+    waiting: VecDeque<Task>,
+    /// Work of late that came while it was cold.
+    pushed: VecDeque<(Duration, f64)>,
+    /// When repeats of a token were first begun.
+    pub tokens: BTreeMap<u64, Duration>,
+    /// Core seconds spent, for its load.
+    pub busy: f64,
+    pub report: Report,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    pub at: Duration,
+    pub inflight: usize,
+    pub queue: usize,
+    pub util: f64,
+}
+
+/// What becomes of a task that has come.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Taken {
+    /// Its work has begun and will be done then.
+    Begun(Duration),
+    Waits,
+    TurnedAway,
+}
+
+impl Server {
+    pub fn new(uid: String, zone: usize, cell: u64, kind: String, build: Build) -> Server {
+        Server {
+            uid,
+            zone,
+            cell,
+            kind,
+            build,
+            health: Health::Up,
+            listing: Listing::Active,
+            started: None,
+            slow: 1.0,
+            failing: 0.0,
+            mute: Vec::new(),
+            connections: 0,
+            life: 0,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            pushed: VecDeque::new(),
+            tokens: BTreeMap::new(),
+            busy: 0.0,
+            report: Report::default(),
+        }
+    }
+
+    /// How much of its full power it has by now.
+    pub fn warmth(&self, now: Duration) -> f64 {
+        let Some(started) = self.started else { return 1.0 };
+        let age = now.saturating_sub(started).as_secs_f64();
+        let (from, span) = (self.build.cold_from, self.build.cold.max(1e-9));
+        (from + (1.0 - from) * age / span).min(1.0)
+    }
+
+    /// Work that one core does in a second.
+    fn power(&self, now: Duration) -> f64 {
+        self.build.speed * self.warmth(now) / self.slow.max(1e-3)
+    }
+
+    fn begin(&mut self, now: Duration, task: &Task) -> Duration {
+        let span = task.work / self.power(now);
+        self.running.push(task.of);
+        self.busy += span;
+        now + Duration::from_secs_f64(span.min(1e6))
+    }
+
+    /// A try has come whole.
+    pub fn take(&mut self, now: Duration, task: Task) -> Taken {
+        if self.warmth(now) < 1.0 {
+            self.push(now, task.work);
+        }
+        if self.listing != Listing::Active {
+            return Taken::TurnedAway;
+        }
+        if self.running.len() < self.build.cores {
+            return Taken::Begun(self.begin(now, &task));
+        }
+        if self.waiting.len() >= self.build.queue {
+            return Taken::TurnedAway;
+        }
+        self.waiting.push_back(task);
+        Taken::Waits
+    }
+
+    /// While it is cold, all that is sent to it counts: too much for too long, and it falls over.
+    fn push(&mut self, now: Duration, work: f64) {
+        let window = self.build.overload_for;
+        self.pushed.push_back((now, work));
+        while self.pushed.front().is_some_and(|(at, _)| *at + window < now) {
+            self.pushed.pop_front();
+        }
+        let sum: f64 = self.pushed.iter().map(|(_, work)| work).sum();
+        let able = self.build.cores as f64 * self.build.speed * self.warmth(now) * window.as_secs_f64();
+        // One task alone is not a push, however large it is.
+        if sum > able * self.build.fall_multiple && self.pushed.len() > self.build.cores + 1 {
+            self.health = Health::Fallen;
+        }
+    }
+
+    /// A try's work is done or given up: the next one that waits begins. Says which, and when it will be done.
+    pub fn over(&mut self, now: Duration, of: TryId) -> Option<(TryId, Duration)> {
+        self.running.retain(|running| *running != of);
+        let next = (self.running.len() < self.build.cores).then(|| self.waiting.pop_front()).flatten()?;
+        Some((next.of, self.begin(now, &next)))
+    }
+
+    /// A try that is given up leaves the queue; one that runs goes on unless work stops.
+    pub fn give_up(&mut self, of: TryId) -> bool {
+        self.waiting.retain(|task| task.of != of);
+        self.running.contains(&of)
+    }
+
+    /// Its process has ended: all that it had is gone.
+    pub fn crash(&mut self, health: Health) -> Vec<TryId> {
+        self.health = health;
+        self.life += 1;
+        self.pushed.clear();
+        self.tokens.clear();
+        let mut lost = std::mem::take(&mut self.running);
+        lost.extend(self.waiting.drain(..).map(|task| task.of));
+        lost
+    }
+
+    pub fn start(&mut self, now: Duration) {
+        self.health = Health::Up;
+        self.started = Some(now);
+        self.report = Report::default();
+    }
+
+    /// Its load as it last reported it, made anew every so often.
+    pub fn report(&mut self, now: Duration, every: Duration) -> Report {
+        if now >= self.report.at + every || self.report == Report::default() {
+            let (busy, queue) = (self.running.len(), self.waiting.len());
+            let util = busy as f64 / self.build.cores as f64;
+            self.report = Report { at: now, inflight: busy + queue, queue, util };
+        }
+        self.report
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn server(queue: usize) -> Server {
+        let overload_for = Duration::from_secs(1);
+        let build =
+            Build { cores: 1, speed: 2.0, queue, cold_from: 0.5, cold: 10.0, fall_multiple: 3.0, overload_for };
+        Server::new("s".into(), 0, 0, "k".into(), build)
+    }
+
+    fn task(of: u32, work: f64) -> Task {
+        Task { of: TryId(of), work }
+    }
+
+    #[test]
+    fn work_takes_its_time_and_waits_in_line() {
+        let (mut server, now) = (server(1), Duration::from_secs(5));
+        assert_eq!(server.take(now, task(1, 1.0)), Taken::Begun(now + Duration::from_millis(500)));
+        assert_eq!(server.take(now, task(2, 1.0)), Taken::Waits);
+        assert_eq!(server.take(now, task(3, 1.0)), Taken::TurnedAway);
+        server.slow = 4.0;
+        let later = now + Duration::from_millis(500);
+        assert_eq!(server.over(later, TryId(1)), Some((TryId(2), later + Duration::from_secs(2))));
+    }
+
+    #[test]
+    fn a_cold_server_falls_over_under_too_much_and_not_under_its_share() {
+        let mut cold = server(100);
+        cold.start(Duration::ZERO);
+        // It does 1 a second of work at first; 3 times that within a second is too much.
+        for of in 0..12 {
+            cold.take(Duration::from_millis(of * 80), task(of as u32, 0.24));
+        }
+        assert_eq!(cold.health, Health::Up);
+        for of in 12..30 {
+            cold.take(Duration::from_millis(960 + (of - 12) * 10), task(of as u32, 0.24));
+        }
+        assert_eq!(cold.health, Health::Fallen);
+    }
+}
--- /dev/null
+++ b/lab/src/world/troubles.rs
@@ -0,0 +1,279 @@
+//! The troubles of a day: what each kind does to the world when it begins, at its steps and when it ends.
+
+use super::agenda::Due;
+use super::clients::Surge;
+use super::counter::{Counter, Mode};
+use super::server::{Health, Listing};
+use super::{secs, Act, GatewayState, ServerNo, World};
+use crate::experiment::{Trouble, TroubleKind};
+use nanorand::Rng;
+use std::time::Duration;
+
+/// Servers that are to leave finish what they have for so long before their process ends.
+const LEAVING: Duration = Duration::from_secs(2);
+/// A gateway's process is started again so long after it has ended.
+const AGAIN: Duration = Duration::from_millis(300);
+
+impl World {
+    /// What a trouble needs before the day begins.
+    pub(super) fn expect(&mut self, place: usize) {
+        let it = self.terms.troubles[place].clone();
+        let (from, to) = (secs(it.at), secs(it.at + it.lasts));
+        let plan = it.plan.as_ref().and_then(|name| self.terms.plan(name));
+        match it.kind {
+            TroubleKind::Surge | TroubleKind::DeadlineSurge | TroubleKind::PlanBurst => {
+                let grows = it.kind == TroubleKind::DeadlineSurge;
+                self.clients.expect(Surge { plan, from, to, factor: it.factor, grows });
+            }
+            TroubleKind::Scan => self.scan.push((from, to, it.share)),
+            _ => (),
+        }
+        self.agenda.at(from, Due::Trouble { place, step: 0 });
+        if it.lasts > 0.0 {
+            self.agenda.at(to, Due::TroubleEnds(place));
+        }
+    }
+
+    /// Some of the servers that are in service, by chance: so many of all.
+    fn some_servers(&mut self, share: f64) -> Vec<ServerNo> {
+        let fit = |it: &super::Server| it.listing == Listing::Active && it.health == Health::Up;
+        let all = self.servers.iter().enumerate().filter(|(_, it)| fit(it));
+        let mut all: Vec<ServerNo> = all.map(|(place, _)| ServerNo(place as u32)).collect();
+        let wanted = (all.len() as f64 * share).round() as usize;
+        self.chance.shuffle(&mut all);
+        all.truncate(wanted);
+        all
+    }
+
+    fn some_gateways(&mut self, share: f64) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..self.gateways.len()).collect();
+        let wanted = (all.len() as f64 * share).round() as usize;
+        self.chance.shuffle(&mut all);
+        all.truncate(wanted);
+        all
+    }
+
+    fn at_server(&mut self, server: ServerNo) -> &mut super::Server {
+        &mut self.servers[server.0 as usize]
+    }
+
+    /// A server's process ends; connections are reset.
+    fn fell_down(&mut self, server: ServerNo, health: Health, acts: &mut Vec<Act>) {
+        if self.at_server(server).health == Health::Fallen {
+            return;
+        }
+        self.at_server(server).crash(health);
+        if health == Health::Down {
+            acts.push(Act::Down(server));
+        }
+    }
+
+    /// A server that was to leave has finished what it had: its process ends and the list forgets it.
+    pub(super) fn retires(&mut self, now: Duration, server: ServerNo, acts: &mut Vec<Act>) {
+        self.at_server(server).listing = Listing::Left;
+        self.fell_down(server, Health::Down, acts);
+        self.change(now, server, Listing::Left);
+    }
+
+    /// A server that was away is back, cold, under its old name.
+    pub(super) fn returns(&mut self, now: Duration, server: ServerNo, acts: &mut Vec<Act>) {
+        let it = self.at_server(server);
+        if matches!(it.health, Health::Up | Health::Fallen) || it.listing != Listing::Active {
+            return;
+        }
+        let was_silent = it.health == Health::Silent;
+        it.start(now);
+        // What a silent machine still held open is reset when it is back.
+        if was_silent {
+            it.life += 1;
+            acts.push(Act::Down(server));
+        }
+        acts.push(Act::Up(server));
+        self.change(now, server, Listing::Active);
+    }
+
+    pub(super) fn trouble(&mut self, now: Duration, place: usize, step: usize, acts: &mut Vec<Act>) {
+        let it = self.terms.troubles[place].clone();
+        let until = now + secs(it.lasts);
+        match it.kind {
+            TroubleKind::CounterSilent => self.counters[0].mode = Mode::Silent,
+            TroubleKind::CounterBusy => self.counters[0].mode = Mode::Busy,
+            TroubleKind::CounterReset => {
+                self.counters[0].mode = Mode::Reset;
+                acts.push(Act::CounterCut);
+            }
+            TroubleKind::CounterSlow => self.counters[0].mode = Mode::Slow(it.factor),
+            TroubleKind::CounterEmpty => self.counters[0].empty(),
+            TroubleKind::CounterSplit | TroubleKind::CounterSwap => {
+                if it.kind == TroubleKind::CounterSplit || step == 0 {
+                    self.counters[1] = Counter::new(&self.counter_terms());
+                }
+                let share = if it.kind == TroubleKind::CounterSplit { it.share } else { 1.0 };
+                for gateway in self.some_gateways(share) {
+                    self.gateways[gateway].counter = 1;
+                    acts.push(Act::Move(gateway));
+                }
+            }
+            TroubleKind::ServersSlow | TroubleKind::ServersFailing | TroubleKind::RouteUnanswered => {
+                let servers = self.some_servers(it.share);
+                let route = it.route.as_ref().and_then(|name| self.terms.route(name));
+                for server in &servers {
+                    let at = self.at_server(*server);
+                    match it.kind {
+                        TroubleKind::ServersSlow => at.slow *= it.factor,
+                        TroubleKind::ServersFailing => at.failing = it.factor.min(1.0),
+                        _ => at.mute.extend(route),
+                    }
+                }
+                self.taken_servers.insert(place, servers);
+            }
+            TroubleKind::ServersSilent | TroubleKind::ServersCrash => {
+                let silent = it.kind == TroubleKind::ServersSilent;
+                let health = if silent { Health::Silent } else { Health::Down };
+                for server in self.some_servers(it.share) {
+                    self.fell_down(server, health, acts);
+                    self.agenda.at(until, Due::Returns(server));
+                }
+            }
+            TroubleKind::ZoneLost => {
+                for server in (0..self.servers.len() as u32).map(ServerNo) {
+                    let at = self.at_server(server);
+                    if at.zone == it.zone && at.listing == Listing::Active && at.health == Health::Up {
+                        self.fell_down(server, Health::Silent, acts);
+                        self.agenda.at(until, Due::Returns(server));
+                    }
+                }
+            }
+            TroubleKind::ServersReplace => self.replace(now, place, step, &it, acts),
+            TroubleKind::AnswersSpoilt => self.spoilt = (until, it.share),
+            TroubleKind::ListLate => self.late_list = (until, it.factor),
+            TroubleKind::ListSilent => self.silent_list = until,
+            TroubleKind::ListWrong => {
+                let servers = self.some_servers(it.share);
+                for server in &servers {
+                    self.change(now, *server, Listing::Left);
+                }
+                self.taken_servers.insert(place, servers);
+            }
+            TroubleKind::Surge | TroubleKind::DeadlineSurge | TroubleKind::PlanBurst | TroubleKind::Scan => (),
+            TroubleKind::Shift => {
+                for account in &mut self.clients.accounts {
+                    if self.chance.generate::<f64>() < it.share {
+                        account.moved += 1 + (self.chance.generate::<u32>() % 7) as usize;
+                    }
+                }
+            }
+            TroubleKind::Impatient => self.clients.pressure.patience = it.factor.clamp(0.05, 1.0),
+            TroubleKind::Heedless => self.clients.pressure.heedless = it.share,
+            TroubleKind::BadClients => acts.push(Act::BadClients(it.factor as usize)),
+            TroubleKind::GatewaysKill => {
+                for gateway in self.some_gateways(it.share) {
+                    self.kill(now, gateway, acts);
+                    self.agenda.at(until, Due::Start(gateway));
+                }
+            }
+            TroubleKind::GatewaysRestart => self.restart(now, place, step, &it, acts),
+            TroubleKind::GatewaysMove => {
+                for gateway in self.some_gateways(it.share) {
+                    acts.push(Act::Move(gateway));
+                }
+            }
+            TroubleKind::ZoneCut => self.cut.push((it.zone, until)),
+            TroubleKind::PeersLost => self.deaf = (until, it.share),
+        }
+    }
+
+    /// Servers are replaced one after another, each by a new one that starts cold.
+    fn replace(&mut self, now: Duration, place: usize, step: usize, it: &Trouble, acts: &mut Vec<Act>) {
+        if step == 0 {
+            let servers = self.some_servers(it.share);
+            let each = secs(it.lasts / servers.len().max(1) as f64);
+            for later in 1..servers.len() {
+                self.agenda.at(now + each * later as u32, Due::Trouble { place, step: later });
+            }
+            self.taken_servers.insert(place, servers);
+        }
+        let Some(old) = self.taken_servers[&place].get(step).copied() else { return };
+        let (zone, kind) = (self.at_server(old).zone, self.at_server(old).kind.clone());
+        let kind = self.terms.fleet.kinds.iter().position(|known| known.name == kind).unwrap_or(0);
+        self.at_server(old).listing = Listing::Leaving;
+        self.change(now, old, Listing::Leaving);
+        let fresh = self.build(zone, kind);
+        // It is listed by the change that tells its start, not by the one that made it.
+        self.changes.pop();
+        self.at_server(fresh).start(now);
+        acts.push(Act::Born(fresh));
+        self.change(now, fresh, Listing::Active);
+        self.agenda.at(now + LEAVING, Due::Retires(old));
+    }
+
+    /// Gateways are told to stop one after another, and killed when all that they had must be answered.
+    fn restart(&mut self, now: Duration, place: usize, step: usize, it: &Trouble, acts: &mut Vec<Act>) {
+        if step == 0 {
+            let gateways = self.some_gateways(it.share);
+            let each = secs(it.lasts / gateways.len().max(1) as f64);
+            for later in 1..gateways.len() {
+                self.agenda.at(now + each * later as u32, Due::Trouble { place, step: later });
+            }
+            let gateways = gateways.into_iter().map(|gateway| ServerNo(gateway as u32)).collect();
+            self.taken_servers.insert(place, gateways);
+        }
+        let Some(gateway) = self.taken_servers[&place].get(step).map(|it| it.0 as usize) else { return };
+        if self.gateways[gateway].state != GatewayState::Ready {
+            return;
+        }
+        self.gateways[gateway].state = GatewayState::Stopping;
+        self.gateways[gateway].since = now;
+        acts.push(Act::Stop(gateway));
+        let longest = self.terms.routes.iter().map(|route| route.client_timeout).fold(0.0, f64::max);
+        let gone = now + secs(longest + 0.7);
+        self.agenda.at(gone, Due::Kill(gateway));
+        self.agenda.at(gone + AGAIN, Due::Start(gateway));
+    }
+
+    pub(super) fn trouble_ends(&mut self, now: Duration, place: usize, acts: &mut Vec<Act>) {
+        let it = self.terms.troubles[place].clone();
+        match it.kind {
+            TroubleKind::CounterSilent
+            | TroubleKind::CounterBusy
+            | TroubleKind::CounterReset
+            | TroubleKind::CounterSlow => {
+                self.counters[0].mode = Mode::Answers;
+                if it.empty {
+                    self.counters[0].empty();
+                }
+            }
+            TroubleKind::CounterSplit => {
+                for gateway in 0..self.gateways.len() {
+                    if std::mem::replace(&mut self.gateways[gateway].counter, 0) != 0 {
+                        acts.push(Act::Move(gateway));
+                    }
+                }
+            }
+            TroubleKind::ServersSlow => {
+                for server in self.taken_servers.remove(&place).unwrap_or_default() {
+                    self.at_server(server).slow /= it.factor.max(1e-9);
+                }
+            }
+            TroubleKind::ServersFailing => {
+                for server in self.taken_servers.remove(&place).unwrap_or_default() {
+                    self.at_server(server).failing = 0.0;
+                }
+            }
+            TroubleKind::RouteUnanswered => {
+                for server in self.taken_servers.remove(&place).unwrap_or_default() {
+                    self.at_server(server).mute.pop();
+                }
+            }
+            TroubleKind::ListWrong => {
+                for server in self.taken_servers.remove(&place).unwrap_or_default() {
+                    let listing = self.at_server(server).listing;
+                    self.change(now, server, listing);
+                }
+            }
+            TroubleKind::Impatient => self.clients.pressure.patience = 1.0,
+            TroubleKind::Heedless => self.clients.pressure.heedless = 0.0,
+            _ => (),
+        }
+    }
+}
