Laboratory: the same world on loopback sockets, with the edge node's processes as gateways

One mio loop plays clients, app servers, counter, discovery and datagrams for N processes, each with addresses of its own; a tap records what a gateway is asked.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! that shares no code with the program, recorded traffic, comparisons and reports.
 
 pub mod experiment;
+pub mod loopback;
 pub mod measure;
 pub mod minds;
 pub mod record;
--- /dev/null
+++ b/lab/src/loopback/counter.rs
@@ -0,0 +1,115 @@
+//! The counter on loopback: lines of text, calls answered in their order on each connection.
+
+use super::wire::{Turns, Wire};
+use super::{Place, Stage};
+use crate::world::counter::CounterSays;
+use crate::world::CountId;
+use std::time::Duration;
+
+pub struct Line {
+    pub wire: Wire,
+    gateway: usize,
+    pub door: usize,
+    /// None: a ping.
+    pub turns: Turns<Option<CountId>>,
+}
+
+impl Line {
+    pub fn new(wire: Wire, gateway: usize, door: usize) -> Line {
+        Line { wire, gateway, door, turns: Turns::default() }
+    }
+}
+
+/// What a line asks.
+#[derive(Debug, PartialEq)]
+enum Asked {
+    Ping,
+    Add { name: u64, add: f64, keep: Duration },
+    Nothing,
+}
+
+fn read(line: &str) -> Asked {
+    let words: Vec<&str> = line.split_ascii_whitespace().collect();
+    match words[..] {
+        ["ping"] => Asked::Ping,
+        ["incr", name, add, keep] => match (name.parse(), add.parse::<f64>(), keep.parse::<u64>()) {
+            (Ok(name), Ok(add), Ok(keep)) if add.abs() <= 1e9 && keep > 0 => {
+                Asked::Add { name, add, keep: Duration::from_millis(keep) }
+            }
+            _ => Asked::Nothing,
+        },
+        _ => Asked::Nothing,
+    }
+}
+
+impl Stage {
+    pub(super) fn counter_ready(&mut self, key: usize, read_it: bool, write: bool) -> Result<(), String> {
+        if write {
+            self.written.push(key);
+        }
+        let Some(Place::Counter(line)) = self.places.get_mut(key) else { return Ok(()) };
+        if !read_it {
+            return Ok(());
+        }
+        let (open, gateway) = (line.wire.read(), line.gateway);
+        let end = line.wire.input.iter().rposition(|byte| *byte == b'\n').map_or(0, |end| end + 1);
+        let whole: Vec<u8> = line.wire.input.drain(..end).collect();
+        let mut acts = Vec::new();
+        for text in String::from_utf8_lossy(&whole).lines() {
+            match read(text) {
+                Asked::Ping => {
+                    self.line_asked(key, None);
+                    self.line_says(key, None, b"pong\r\n".to_vec());
+                }
+                Asked::Add { name, add, keep } => {
+                    let id = self.world.count(self.now, gateway, name, add, keep, &mut acts);
+                    self.line_asked(key, Some(id));
+                    self.counting.insert(id, key);
+                }
+                Asked::Nothing => {
+                    self.line_asked(key, None);
+                    self.line_says(key, None, b"error\r\n".to_vec());
+                }
+            }
+        }
+        self.carry(acts)?;
+        if !open {
+            return self.close(key);
+        }
+        Ok(())
+    }
+
+    fn line_asked(&mut self, key: usize, id: Option<CountId>) {
+        if let Some(Place::Counter(line)) = self.places.get_mut(key) {
+            line.turns.asked(id);
+        }
+    }
+
+    fn line_says(&mut self, key: usize, id: Option<CountId>, said: Vec<u8>) {
+        if let Some(Place::Counter(line)) = self.places.get_mut(key) {
+            let out = line.turns.answered(id, said);
+            line.wire.put(&out);
+            self.written.push(key);
+        }
+    }
+
+    pub(super) fn counted(&mut self, id: CountId, says: CounterSays) -> Result<(), String> {
+        let Some(key) = self.counting.remove(&id) else { return Ok(()) };
+        match says {
+            CounterSays::Total(total) => self.line_says(key, Some(id), format!("ok {total}\r\n").into_bytes()),
+            CounterSays::Busy => self.line_says(key, Some(id), b"busy\r\n".to_vec()),
+            CounterSays::Reset => return self.close(key),
+        }
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_are_read_or_refused() {
+    let keep = Duration::from_millis(4000);
+    assert_eq!(read("incr 7 -2.5 4000"), Asked::Add { name: 7, add: -2.5, keep });
+    assert_eq!(read("ping"), Asked::Ping);
+    for wrong in ["incr 7 2", "incr x 2 4000", "incr 7 2 0", "incr 7 2e9 10", "decr 7 1 10", ""] {
+        assert_eq!(read(wrong), Asked::Nothing, "{wrong}");
+    }
+}
--- /dev/null
+++ b/lab/src/loopback/mod.rs
@@ -0,0 +1,584 @@
+//! The engine on loopback: the same world behind real sockets, with the programs themselves as gateways. One
+//! loop and one poll; each gateway meets stand-ins at addresses kept for it alone, so the world knows who asks.
+
+mod clients;
+mod clock;
+mod counter;
+mod discovery;
+mod peers;
+mod process;
+mod servers;
+mod tap;
+mod wire;
+
+pub use tap::tap;
+
+use crate::experiment::{Experiment, Variant};
+use crate::measure::{Results, Second};
+use crate::record::{Recorded, Recorder};
+use crate::told;
+use crate::world::{Act, AskId, CountId, GatewayState, ServerNo, TryId, World};
+use clock::Clock;
+use mio::net::{TcpListener, UdpSocket};
+use mio::{Events, Interest, Poll, Registry, Token};
+use nanorand::{Rng, WyRand};
+use process::{Folder, Process};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook_mio::v1_0::Signals;
+use slab::Slab;
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// What the referee allows for a machine that also runs everything else.
+const SLACK: Duration = Duration::from_millis(250);
+/// Gateways have so long to be ready.
+const GET_READY: Duration = Duration::from_secs(10);
+/// Where discovery and counter were before is still there for so long.
+const STILL_THERE: Duration = Duration::from_millis(1500);
+
+/// What a run is told each second: which one, what it brought, how many tries are out.
+pub type Watch<'a> = dyn FnMut(u64, &Second) + 'a;
+
+#[derive(Default)]
+pub struct Terms<'a> {
+    /// The program that is played: an edge node.
+    pub edge: PathBuf,
+    pub replay: Vec<Recorded>,
+    /// A file for what clients ask.
+    pub record: Option<PathBuf>,
+    /// A folder for the gateways' logs.
+    pub logs: Option<PathBuf>,
+    pub watch: Option<Box<Watch<'a>>>,
+}
+
+/// Whom an event of the poll is for.
+enum Place {
+    Signals,
+    ServerDoor { gateway: usize, server: ServerNo, door: TcpListener },
+    CounterDoor { gateway: usize, door: TcpListener },
+    DiscoveryDoor { gateway: usize, door: TcpListener },
+    Peer { from: usize, to: Option<usize>, socket: UdpSocket },
+    Client(clients::Client),
+    Upstream(servers::Upstream),
+    Counter(counter::Line),
+    Discovery(discovery::Watcher),
+}
+
+struct Gateway {
+    process: Process,
+    listen: SocketAddr,
+    peer_listen: SocketAddr,
+    /// Tokens of the doors that its file names now.
+    counter: Option<usize>,
+    discovery: Option<usize>,
+    /// Doors of its servers, by server, and where they are.
+    doors: BTreeMap<ServerNo, (usize, SocketAddr)>,
+    /// Peer sockets: to each other gateway, and to all.
+    peers: Vec<(usize, SocketAddr)>,
+    all: Option<(usize, SocketAddr)>,
+    /// Client connections that nothing is open on.
+    idle: Vec<usize>,
+    clients: usize,
+    /// Told to stop, so its end is no crash.
+    stopping: bool,
+    /// When it is asked next whether it serves.
+    ping: Option<Duration>,
+}
+
+struct Stage {
+    poll: Poll,
+    registry: Registry,
+    clock: Clock,
+    now: Duration,
+    world: World,
+    places: Slab<Place>,
+    gateways: Vec<Gateway>,
+    folder: Folder,
+    program: PathBuf,
+    told: toml::Table,
+    logs: Option<PathBuf>,
+    seeds: WyRand,
+    /// Connections with something to write.
+    written: Vec<usize>,
+    trying: BTreeMap<TryId, usize>,
+    counting: BTreeMap<CountId, usize>,
+    asking: BTreeMap<AskId, usize>,
+    /// Doors and connections that are closed then.
+    closing: Vec<(Duration, usize)>,
+    /// Datagrams under way: when, to whom, by whom, what.
+    flying: BTreeMap<(Duration, u64), (usize, usize, Vec<u8>)>,
+    serial: u64,
+    bad: (u64, u64),
+    crashes: Vec<String>,
+    recorder: Option<Recorder<File>>,
+    signals: Option<Signals>,
+    begun: bool,
+    stop: bool,
+}
+
+/// Plays one day of an experiment on loopback, as a variant has it.
+pub fn play(experiment: &Experiment, variant: &Variant, seed: u64, mut terms: Terms) -> Result<Results, String> {
+    let changed = experiment.with(variant).map_err(|wrongs| format!("{wrongs:?}"))?;
+    let said = |error: std::io::Error| error.to_string();
+    let poll = Poll::new().map_err(said)?;
+    let registry = poll.registry().try_clone().map_err(said)?;
+    let recorder = match &terms.record {
+        Some(path) => {
+            let file = File::create(path).map_err(|error| format!("{}: {error}", path.display()))?;
+            Some(Recorder::new(file).map_err(said)?)
+        }
+        None => None,
+    };
+    if let Some(logs) = &terms.logs {
+        std::fs::create_dir_all(logs).map_err(|error| format!("{}: {error}", logs.display()))?;
+    }
+    let world = World::new(&changed, seed, true, SLACK, std::mem::take(&mut terms.replay));
+    let mut stage = Stage {
+        poll,
+        registry,
+        clock: Clock::start(),
+        now: Duration::ZERO,
+        world,
+        places: Slab::new(),
+        gateways: Vec::new(),
+        folder: Folder::new()?,
+        program: variant.edge.clone().map_or(terms.edge.clone(), PathBuf::from),
+        told: variant.told.clone(),
+        logs: terms.logs.clone(),
+        seeds: WyRand::new_seed(seed ^ 0x5eed),
+        written: Vec::new(),
+        trying: BTreeMap::new(),
+        counting: BTreeMap::new(),
+        asking: BTreeMap::new(),
+        closing: Vec::new(),
+        flying: BTreeMap::new(),
+        serial: 0,
+        bad: (0, 0),
+        crashes: Vec::new(),
+        recorder,
+        signals: None,
+        begun: false,
+        stop: false,
+    };
+    stage.set_up(changed.fleet.gateways)?;
+    stage.run(terms.watch.as_deref_mut())?;
+    let mut results = stage.world.measure.results();
+    results.experiment = experiment.title.clone();
+    results.variant = variant.name.clone();
+    results.engine = "loopback".into();
+    (results.seed, results.gateways, results.servers) = (seed, changed.fleet.gateways, changed.fleet.servers);
+    results.seconds = stage.now.min(stage.world.length()).as_secs_f64();
+    results.by_second.truncate(results.seconds.ceil() as usize);
+    results.broken = std::mem::take(&mut stage.world.referee.broken);
+    results.broken_count = stage.world.referee.count;
+    results.bad_clients = stage.bad;
+    results.crashes = std::mem::take(&mut stage.crashes);
+    results.took = stage.now.as_secs_f64();
+    results.gateway_cpu = stage.gateways.iter().map(|it| it.process.cpu).sum();
+    let most = stage.gateways.iter().map(|it| it.process.resident).max().unwrap_or(0);
+    results.gateway_mb = most as f64 / f64::from(1 << 20);
+    let named = |at: &u32| stage.world.servers[*at as usize].uid.clone();
+    results.server_load = stage.world.measure.busy.iter().map(|(at, load)| (named(at), load.clone())).collect();
+    if let Some(recorder) = stage.recorder.take() {
+        recorder.finish().map_err(said)?;
+    }
+    Ok(results)
+}
+
+impl Stage {
+    fn set_up(&mut self, gateways: usize) -> Result<(), String> {
+        let mut signals = Signals::new([SIGINT, SIGTERM]).map_err(|error| error.to_string())?;
+        let token = Token(self.places.insert(Place::Signals));
+        let registered = self.registry.register(&mut signals, token, Interest::READABLE);
+        registered.map_err(|error| error.to_string())?;
+        self.world.begin();
+        for gateway in 0..gateways {
+            let (listen, peer_listen) = (process::free_address()?, process::free_address()?);
+            self.gateways.push(Gateway {
+                process: Process::none(),
+                listen,
+                peer_listen,
+                counter: None,
+                discovery: None,
+                doors: BTreeMap::new(),
+                peers: Vec::new(),
+                all: None,
+                idle: Vec::new(),
+                clients: 0,
+                stopping: false,
+                ping: None,
+            });
+            for server in 0..self.world.servers.len() as u32 {
+                self.open_door(gateway, ServerNo(server))?;
+            }
+            self.open_platform(gateway)?;
+        }
+        if self.world.terms.network.peers {
+            self.open_peers()?;
+        }
+        for gateway in 0..gateways {
+            self.start(gateway)?;
+        }
+        self.signals = Some(signals);
+        Ok(())
+    }
+
+    /// A door on a free port of loopback.
+    fn door(&mut self, place: impl FnOnce(TcpListener) -> Place) -> Result<(usize, SocketAddr), String> {
+        let said = |error: std::io::Error| format!("no door on loopback: {error}");
+        let at = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut door = TcpListener::bind(at).map_err(said)?;
+        let at = door.local_addr().map_err(said)?;
+        let entry = self.places.vacant_entry();
+        let key = entry.key();
+        self.registry.register(&mut door, Token(key), Interest::READABLE).map_err(said)?;
+        entry.insert(place(door));
+        Ok((key, at))
+    }
+
+    /// New addresses for a gateway's counter and discovery.
+    fn open_platform(&mut self, gateway: usize) -> Result<(), String> {
+        let (counter, _) = self.door(|door| Place::CounterDoor { gateway, door })?;
+        let (discovery, _) = self.door(|door| Place::DiscoveryDoor { gateway, door })?;
+        self.gateways[gateway].counter = Some(counter);
+        self.gateways[gateway].discovery = Some(discovery);
+        Ok(())
+    }
+
+    fn address(&self, key: Option<usize>) -> Option<SocketAddr> {
+        match self.places.get(key?) {
+            Some(Place::CounterDoor { door, .. } | Place::DiscoveryDoor { door, .. }) => door.local_addr().ok(),
+            _ => None,
+        }
+    }
+
+    /// Writes a gateway's file; the list in it is the one that it was told last.
+    fn write_file(&mut self, gateway: usize) -> Result<PathBuf, String> {
+        let settings = told::settings(&self.world.terms, gateway, &self.told)?;
+        let upto = self.world.upto(gateway);
+        let lines = self.lines(gateway, &self.world.list(upto));
+        let it = &self.gateways[gateway];
+        let fleet = &self.world.terms.fleet;
+        let mut file = serde_json::json!({
+            "name": format!("g{gateway}"), "listen": it.listen,
+            "discovery": self.address(it.discovery), "seed": format!("{:016x}", self.seeds.generate::<u64>()),
+            "limits": {"cores": 1.0, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets},
+            "known": told::list(upto as u64, true, lines), "settings": settings,
+        });
+        if self.world.terms.counter.present {
+            file["counter"] = serde_json::json!(self.address(it.counter));
+        }
+        if self.world.terms.network.peers {
+            let mut peers: Vec<SocketAddr> = it.peers.iter().map(|(_, at)| *at).collect();
+            peers.insert(gateway, it.peer_listen);
+            file["peer_listen"] = serde_json::json!(it.peer_listen);
+            file["peers"] = serde_json::json!(peers);
+            file["peers_all"] = serde_json::json!(it.all.map(|(_, at)| at));
+        }
+        let path = self.folder.0.join(format!("g{gateway}.json"));
+        // Put in place whole: a gateway that is told to read it again must not meet half of it.
+        let (half, bytes) = (path.with_extension("new"), file.to_string());
+        let written = std::fs::write(&half, bytes).and_then(|()| std::fs::rename(&half, &path));
+        written.map_err(|error| format!("{}: {error}", path.display()))?;
+        Ok(path)
+    }
+
+    fn start(&mut self, gateway: usize) -> Result<(), String> {
+        let file = self.write_file(gateway)?;
+        let log = self.logs.as_ref().map(|logs| logs.join(format!("g{gateway}.log")));
+        let it = &mut self.gateways[gateway];
+        it.process.start(&self.program, &file, log.as_deref())?;
+        (it.stopping, it.ping) = (false, Some(self.now));
+        // What stands in the file is told to it.
+        let list = self.world.list(self.world.upto(gateway));
+        self.world.told(self.now, gateway, &list);
+        Ok(())
+    }
+
+    fn run(&mut self, mut watch: Option<&mut Watch>) -> Result<(), String> {
+        let mut events = Events::with_capacity(1024);
+        let (mut second, mut next_look) = (0, Duration::ZERO);
+        let give_up = GET_READY;
+        while !self.stop {
+            self.now = self.clock.now();
+            if !self.begun {
+                let all = 0..self.gateways.len();
+                if all.into_iter().all(|gateway| self.world.state(gateway) == GatewayState::Ready) {
+                    // The day's clock begins here.
+                    self.clock = Clock::start();
+                    (self.now, self.begun, next_look) = (Duration::ZERO, true, Duration::ZERO);
+                    self.rebase();
+                } else if self.now > give_up {
+                    return Err(format!("the gateways were not ready within {give_up:?}: {:?}", self.crashes));
+                }
+            }
+            if self.begun {
+                if self.now >= self.world.end() {
+                    break;
+                }
+                let due = self.world.next_due().filter(|due| *due <= self.now);
+                if let Some(due) = due {
+                    self.world.measure.late(self.now - due);
+                    let mut acts = Vec::new();
+                    self.world.advance(self.now, &mut acts);
+                    self.carry(acts)?;
+                }
+                while self.now.as_secs() > second && second < self.world.length().as_secs() {
+                    if let Some(watch) = watch.as_mut() {
+                        let brought = self.world.measure.at(Duration::from_secs(second)).clone();
+                        watch(second, &brought);
+                    }
+                    second += 1;
+                }
+            }
+            self.due()?;
+            if self.now >= next_look {
+                self.look();
+                next_look = self.now + Duration::from_millis(100);
+            }
+            self.flush()?;
+            let wait = self.next().min(next_look).saturating_sub(self.clock.now());
+            match self.poll.poll(&mut events, Some(wait)) {
+                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => (),
+                Err(error) => return Err(error.to_string()),
+                Ok(()) => (),
+            }
+            self.now = self.clock.now();
+            for event in &events {
+                let (key, ended) = (event.token().0, event.is_read_closed() || event.is_error());
+                self.ready(key, event.is_readable() || ended, event.is_writable() || ended)?;
+            }
+            self.flush()?;
+        }
+        for it in &mut self.gateways {
+            it.process.look();
+        }
+        // Gateways that a Ctrl-C from the terminal has reached as well may be gone already.
+        self.gateways.iter_mut().for_each(|it| it.process.kill());
+        self.world.referee.end(self.now);
+        Ok(())
+    }
+
+    /// What was set by the clock before the day began counts from its first moment.
+    fn rebase(&mut self) {
+        for gateway in 0..self.gateways.len() {
+            self.gateways[gateway].ping = None;
+            self.world.ready(Duration::ZERO, gateway);
+        }
+        self.rebase_watches();
+    }
+
+    /// When something is due next.
+    fn next(&self) -> Duration {
+        let world = if self.begun { self.world.next_due() } else { None };
+        let pings = self.gateways.iter().filter_map(|it| it.ping).min();
+        let closing = self.closing.iter().map(|(when, _)| *when).min();
+        let flying = self.flying.keys().next().map(|key| key.0);
+        let far = self.now + Duration::from_secs(1);
+        [world, pings, closing, flying].into_iter().flatten().min().unwrap_or(far).min(far)
+    }
+
+    fn due(&mut self) -> Result<(), String> {
+        for gateway in 0..self.gateways.len() {
+            if self.gateways[gateway].ping.is_some_and(|at| at <= self.now) {
+                self.gateways[gateway].ping = Some(self.now + Duration::from_millis(20));
+                self.ping(gateway);
+            }
+        }
+        let over: Vec<usize> = self.closing.iter().filter(|it| it.0 <= self.now).map(|it| it.1).collect();
+        self.closing.retain(|it| it.0 > self.now);
+        for key in over {
+            self.close(key)?;
+        }
+        self.land();
+        self.watches_over();
+        self.bad_over()
+    }
+
+    /// How the gateways' processes are.
+    fn look(&mut self) {
+        for gateway in 0..self.gateways.len() {
+            let it = &mut self.gateways[gateway];
+            it.process.look();
+            let Some(ended) = it.process.ended() else { continue };
+            if !it.stopping || !ended.success() {
+                self.crashes.push(format!("gateway {gateway} at {:.3} s: {ended}", self.now.as_secs_f64()));
+            }
+            it.ping = None;
+            self.world.ended_by_itself(self.now, gateway);
+        }
+    }
+
+    fn ready(&mut self, key: usize, read: bool, write: bool) -> Result<(), String> {
+        match self.places.get(key) {
+            None => Ok(()),
+            Some(Place::Signals) => {
+                if let Some(signals) = &mut self.signals {
+                    self.stop |= signals.pending().next().is_some();
+                }
+                Ok(())
+            }
+            Some(
+                Place::ServerDoor { .. } | Place::CounterDoor { .. } | Place::DiscoveryDoor { .. },
+            ) => self.accept(key),
+            Some(Place::Peer { .. }) => {
+                self.datagrams(key);
+                Ok(())
+            }
+            Some(Place::Client(_)) => self.client_ready(key, read, write),
+            Some(Place::Upstream(_)) => self.upstream_ready(key, read, write),
+            Some(Place::Counter(_)) => self.counter_ready(key, read, write),
+            Some(Place::Discovery(_)) => self.discovery_ready(key, read, write),
+        }
+    }
+
+    fn accept(&mut self, key: usize) -> Result<(), String> {
+        loop {
+            let Some(
+                Place::ServerDoor { door, .. } | Place::CounterDoor { door, .. } | Place::DiscoveryDoor { door, .. },
+            ) = self.places.get(key)
+            else {
+                return Ok(());
+            };
+            let Ok((socket, _)) = door.accept() else { return Ok(()) };
+            let entry = self.places.vacant_entry();
+            let token = Token(entry.key());
+            let Ok(wire) = wire::Wire::accepted(&self.registry, socket, token) else { continue };
+            let place = match self.places.get(key) {
+                Some(Place::ServerDoor { gateway, server, .. }) => {
+                    let (gateway, server) = (*gateway, *server);
+                    self.world.connected(self.now, server);
+                    Place::Upstream(servers::Upstream::new(wire, gateway, server))
+                }
+                Some(Place::CounterDoor { gateway, .. }) => {
+                    Place::Counter(counter::Line::new(wire, *gateway, key))
+                }
+                Some(Place::DiscoveryDoor { gateway, .. }) => {
+                    Place::Discovery(discovery::Watcher::new(wire, *gateway, key))
+                }
+                _ => return Ok(()),
+            };
+            let at = self.places.insert(place);
+            debug_assert_eq!(at, token.0, "the key that the poll was told");
+        }
+    }
+
+    /// Writes what has been put, once a connection.
+    fn flush(&mut self) -> Result<(), String> {
+        while let Some(key) = self.written.pop() {
+            let over = match self.places.get_mut(key) {
+                Some(Place::Client(it)) => it.wire.flush().is_err(),
+                Some(Place::Upstream(it)) => it.wire.flush().is_err(),
+                Some(Place::Counter(it)) => it.wire.flush().is_err(),
+                Some(Place::Discovery(it)) => it.wire.flush().is_err(),
+                _ => false,
+            };
+            if over {
+                self.close(key)?;
+            } else if matches!(self.places.get(key), Some(Place::Client(_))) {
+                self.taken(key);
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends whatever has this key, and tells the world what that means.
+    fn close(&mut self, key: usize) -> Result<(), String> {
+        match self.places.try_remove(key) {
+            None | Some(Place::Signals) => Ok(()),
+            Some(Place::ServerDoor { mut door, .. }) => {
+                let _ = self.registry.deregister(&mut door);
+                Ok(())
+            }
+            Some(Place::CounterDoor { mut door, .. } | Place::DiscoveryDoor { mut door, .. }) => {
+                let _ = self.registry.deregister(&mut door);
+                self.close_lines_of(key)
+            }
+            Some(Place::Peer { mut socket, .. }) => {
+                let _ = self.registry.deregister(&mut socket);
+                Ok(())
+            }
+            Some(Place::Client(it)) => self.client_over(key, it),
+            Some(Place::Upstream(it)) => {
+                self.upstream_over(it);
+                Ok(())
+            }
+            Some(Place::Counter(it)) => {
+                for id in it.turns.open().flatten() {
+                    self.counting.remove(&id);
+                }
+                it.wire.close(&self.registry);
+                Ok(())
+            }
+            Some(Place::Discovery(it)) => {
+                it.wire.close(&self.registry);
+                Ok(())
+            }
+        }
+    }
+
+    /// Connections that came in at a door that is no more.
+    fn close_lines_of(&mut self, door: usize) -> Result<(), String> {
+        let of = |place: &Place| match place {
+            Place::Counter(it) => it.door == door,
+            Place::Discovery(it) => it.door == door,
+            _ => false,
+        };
+        let lines: Vec<usize> = self.places.iter().filter(|(_, it)| of(it)).map(|(key, _)| key).collect();
+        lines.into_iter().try_for_each(|key| self.close(key))
+    }
+
+    /// What the world leaves to be carried out.
+    fn carry(&mut self, acts: Vec<Act>) -> Result<(), String> {
+        for act in acts {
+            match act {
+                Act::Ask(ask) => self.ask(ask, true)?,
+                Act::Leave(ask) => self.leave(ask)?,
+                Act::Reply(of, says) => self.reply(of, says)?,
+                Act::Counted(count, says) => self.counted(count, says)?,
+                Act::Told { gateway, .. } => self.tell(gateway),
+                Act::Born(server) | Act::Up(server) => {
+                    for gateway in 0..self.gateways.len() {
+                        if !self.gateways[gateway].doors.contains_key(&server) {
+                            self.open_door(gateway, server)?;
+                        }
+                    }
+                }
+                Act::Down(server) => self.down(server)?,
+                Act::Kill(gateway) => {
+                    self.gateways[gateway].process.look();
+                    self.gateways[gateway].process.kill();
+                    self.gateways[gateway].ping = None;
+                }
+                Act::Stop(gateway) => {
+                    self.gateways[gateway].stopping = true;
+                    self.gateways[gateway].process.signal(rustix::process::Signal::TERM);
+                }
+                Act::Start(gateway) => self.start(gateway)?,
+                Act::Move(gateway) => self.move_platform(gateway)?,
+                Act::CounterCut => {
+                    let lines = self.places.iter().filter(|(_, it)| matches!(it, Place::Counter(_)));
+                    let lines: Vec<usize> = lines.map(|(key, _)| key).collect();
+                    lines.into_iter().try_for_each(|key| self.close(key))?;
+                }
+                Act::BadClients(count) => self.bad_clients(count)?,
+            }
+        }
+        Ok(())
+    }
+
+    /// Discovery and counter of a gateway move: a new file, SIGHUP, and the old doors close later.
+    fn move_platform(&mut self, gateway: usize) -> Result<(), String> {
+        let it = &self.gateways[gateway];
+        let old = [it.counter, it.discovery];
+        self.open_platform(gateway)?;
+        self.write_file(gateway)?;
+        self.gateways[gateway].process.signal(rustix::process::Signal::HUP);
+        let when = self.now + STILL_THERE;
+        self.closing.extend(old.into_iter().flatten().map(|key| (when, key)));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/lab/src/loopback/servers.rs
@@ -0,0 +1,196 @@
+//! App servers on loopback: each gateway meets each server at a door of its own.
+
+use super::wire::{bulk, encoded, Turns, Wire};
+use super::{clients, Place, Stage};
+use crate::told::{self, ListedServer};
+use crate::world::server::Listing;
+use crate::world::{AskId, Change, Says, ServerNo, TryId};
+use redis_protocol::resp2::decode::decode;
+use redis_protocol::resp2::types::OwnedFrame;
+use serde_json::Value;
+
+pub struct Upstream {
+    pub wire: Wire,
+    gateway: usize,
+    pub server: ServerNo,
+    /// Nothing has come on it yet: the first command pays for the handshake.
+    fresh: bool,
+    turns: Turns<TryId>,
+}
+
+impl Upstream {
+    pub fn new(wire: Wire, gateway: usize, server: ServerNo) -> Upstream {
+        Upstream { wire, gateway, server, fresh: true, turns: Turns::default() }
+    }
+}
+
+fn words(frame: OwnedFrame) -> Option<Vec<Vec<u8>>> {
+    let OwnedFrame::Array(parts) = frame else { return None };
+    let word = |part| match part {
+        OwnedFrame::BulkString(word) => Some(word),
+        _ => None,
+    };
+    parts.into_iter().map(word).collect()
+}
+
+/// The API call that a command carries.
+fn asked(words: &[Vec<u8>]) -> Option<AskId> {
+    let id = std::str::from_utf8(words.get(2)?).ok()?;
+    let number = u64::from_str_radix(id, 16).ok()?.checked_sub(1)?;
+    u32::try_from(number).ok().map(AskId)
+}
+
+/// What a server writes.
+fn said(says: Says, ask: AskId) -> Vec<u8> {
+    let value = clients::value(ask);
+    let good = |units: Option<f64>, load: String| {
+        let figures = units.map_or(OwnedFrame::Null, |units| bulk(format!("cost={units}")));
+        let load = if load.is_empty() { OwnedFrame::Null } else { bulk(load) };
+        encoded(&OwnedFrame::Array(vec![bulk(value.clone()), figures, load]))
+    };
+    match says {
+        Says::Value { units, load } => {
+            let load = load.map(|it| format!("inflight={},queue={},util={:.2}", it.inflight, it.queue, it.util));
+            good(units, load.unwrap_or_default())
+        }
+        Says::Busy => b"-BUSY\r\n".to_vec(),
+        Says::Failed => b"-ERR failed\r\n".to_vec(),
+        Says::Spoilt(0) => b"\x07\x00\xffnoise\r\n".to_vec(),
+        Says::Spoilt(1) => vec![b'*'; 2000],
+        Says::Spoilt(2) => b"*3\r\n$5\r\nrendered more than that\r\n$-1\r\n$-1\r\n".to_vec(),
+        Says::Spoilt(3) => b"*3\r\n$3000000000\r\nrendered".to_vec(),
+        Says::Spoilt(4) => [good(None, String::new()), good(None, String::new())].concat(),
+        Says::Spoilt(_) => [good(None, "inflight=x,queue=-,util".into()), b"noise\r\n".to_vec()].concat(),
+    }
+}
+
+impl Stage {
+    pub(super) fn open_door(&mut self, gateway: usize, server: ServerNo) -> Result<(), String> {
+        let (key, at) = self.door(|door| Place::ServerDoor { gateway, server, door })?;
+        self.gateways[gateway].doors.insert(server, (key, at));
+        Ok(())
+    }
+
+    /// Lines of the list as one gateway is told them.
+    pub(super) fn lines(&self, gateway: usize, changes: &[Change]) -> Vec<Value> {
+        let line = |change: &Change| {
+            let it = &self.world.servers[change.server.0 as usize];
+            let door = self.gateways[gateway].doors.get(&change.server);
+            let endpoint = door.map_or(String::new(), |(_, at)| at.to_string());
+            let state = match change.listing {
+                Listing::Active => "active",
+                Listing::Leaving => "leaving",
+                Listing::Left => "left",
+            };
+            let zone = told::zone_name(it.zone);
+            let started_ms = change.started.map_or(0, |at| self.clock.unix_ms(at));
+            let (uid, kind, cell) = (it.uid.as_str(), it.kind.as_str(), it.cell);
+            ListedServer { uid, endpoint: &endpoint, zone: &zone, kind, cell, state, started_ms }.json()
+        };
+        changes.iter().map(line).collect()
+    }
+
+    /// A server's process has ended: its doors are shut and its connections end.
+    pub(super) fn down(&mut self, server: ServerNo) -> Result<(), String> {
+        for gateway in 0..self.gateways.len() {
+            if let Some((key, _)) = self.gateways[gateway].doors.remove(&server) {
+                self.close(key)?;
+            }
+        }
+        let of = |place: &Place| matches!(place, Place::Upstream(it) if it.server == server);
+        let keys: Vec<usize> = self.places.iter().filter(|(_, it)| of(it)).map(|(key, _)| key).collect();
+        keys.into_iter().try_for_each(|key| self.close(key))
+    }
+
+    pub(super) fn upstream_ready(&mut self, key: usize, read: bool, write: bool) -> Result<(), String> {
+        if write {
+            self.written.push(key);
+        }
+        let Some(Place::Upstream(it)) = self.places.get_mut(key) else { return Ok(()) };
+        if !read {
+            return Ok(());
+        }
+        let open = it.wire.read();
+        let (gateway, server) = (it.gateway, it.server);
+        let (mut took, mut wrong) = (0, false);
+        let mut commands = Vec::new();
+        while took < it.wire.input.len() && !wrong {
+            match decode(&it.wire.input[took..]) {
+                Ok(Some((frame, length))) => {
+                    took += length;
+                    commands.push(words(frame).unwrap_or_default());
+                }
+                Ok(None) => break,
+                Err(_) => wrong = true,
+            }
+        }
+        it.wire.input.drain(..took);
+        for words in commands {
+            wrong |= !self.command(key, gateway, server, &words)?;
+        }
+        if wrong {
+            let at = self.now.as_secs_f64();
+            self.crashes.push(format!("gateway {gateway} at {at:.3} s: sent what no client asked"));
+        }
+        if !open || wrong {
+            return self.close(key);
+        }
+        Ok(())
+    }
+
+    /// One command; false where no client sent one like it.
+    fn command(
+        &mut self,
+        key: usize,
+        gateway: usize,
+        server: ServerNo,
+        words: &[Vec<u8>],
+    ) -> Result<bool, String> {
+        let verb = words.first().map(|word| word.to_ascii_uppercase()).unwrap_or_default();
+        let at_once = match verb.as_slice() {
+            b"PING" => b"+PONG\r\n".as_slice(),
+            b"CLIENT" | b"SELECT" => b"+OK\r\n",
+            b"SVC.QUERY" | b"SVC.SUBMIT" => {
+                let Some(ask) = asked(words).filter(|ask| (ask.0 as usize) < self.world.asks.len()) else {
+                    return Ok(false);
+                };
+                let Some(Place::Upstream(it)) = self.places.get_mut(key) else { return Ok(true) };
+                let fresh = std::mem::replace(&mut it.fresh, false);
+                let mut acts = Vec::new();
+                let of = self.world.came(self.now, gateway, server, (ask, fresh), &mut acts);
+                if let Some(Place::Upstream(it)) = self.places.get_mut(key) {
+                    it.turns.asked(of);
+                }
+                self.trying.insert(of, key);
+                self.carry(acts)?;
+                return Ok(true);
+            }
+            _ => return Ok(false),
+        };
+        if let Some(Place::Upstream(it)) = self.places.get_mut(key) {
+            it.wire.put(at_once);
+            self.written.push(key);
+        }
+        Ok(true)
+    }
+
+    pub(super) fn reply(&mut self, of: TryId, says: Says) -> Result<(), String> {
+        let ask = self.world.tries[of.0 as usize].ask;
+        let Some(key) = self.trying.remove(&of) else { return Ok(()) };
+        if let Some(Place::Upstream(it)) = self.places.get_mut(key) {
+            let out = it.turns.answered(of, said(says, ask));
+            it.wire.put(&out);
+            self.written.push(key);
+        }
+        Ok(())
+    }
+
+    pub(super) fn upstream_over(&mut self, it: Upstream) {
+        for of in it.turns.open() {
+            self.trying.remove(&of);
+            self.world.left(self.now, of);
+        }
+        self.world.disconnected(it.server);
+        it.wire.close(&self.registry);
+    }
+}
--- a/lab/src/simulated.rs
+++ b/lab/src/simulated.rs
@@ -63,7 +63,6 @@
     Woken { at: usize, life: u32, token: WakeToken },
     Listed { at: usize, life: u32, from: usize, upto: usize },
     Ready(usize, u32),
-    Datagram { to: usize },
     Sweep,
 }
 
@@ -427,8 +426,6 @@
                     self.world.ready(now, gateway);
                 }
             }
-            // The decisions hear of no other gateway yet; what is sent is priced and dropped.
-            Event::Datagram { to: _ } => (),
             Event::Sweep => self.sweep(),
         }
         Ok(())
@@ -521,9 +518,8 @@
                 };
                 let may = body.len() <= 256 && self.world.terms.network.peers;
                 for to in to.into_iter().filter(|_| may) {
-                    if let Some(late) = self.world.datagram(now, gateway, to) {
-                        self.at(now + late, Event::Datagram { to });
-                    }
+                    // The decisions hear of no other gateway yet: what is sent is counted, and ends here.
+                    let _ = self.world.datagram(now, gateway, to);
                 }
             }
         }
