--- /dev/null
+++ b/edge/src/lib.rs
@@ -0,0 +1,124 @@
+//! One gateway on real sockets: reads what it is told at its start, sets up the sides, and runs until SIGTERM has
+//! been followed. `wellcrank-edge` is this and nothing else; the operators' command has it built in.
+
+mod budget;
+mod calls;
+mod clients;
+mod clock;
+mod counter;
+mod discovery;
+mod peers;
+mod pipe;
+mod pool;
+mod resp;
+mod tally;
+mod turn;
+mod world;
+
+use mio::{Interest, Poll};
+use serde::Deserialize;
+use serde_json::Value;
+use signal_hook::consts::{SIGHUP, SIGTERM};
+use signal_hook_mio::v1_0::Signals;
+use slog::{Drain, Logger};
+use std::cell::RefCell;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Mutex;
+use wellcrank::control::Control;
+
+/// What a gateway is told when it starts, and on SIGHUP again; from then on where others are counts.
+#[derive(Deserialize)]
+pub struct Told {
+    name: String,
+    listen: SocketAddr,
+    pub discovery: SocketAddr,
+    seed: String,
+    limits: Limits,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    pub counter: Option<SocketAddr>,
+    known: Option<discovery::News>,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    memory_mb: usize,
+    sockets: usize,
+}
+
+pub fn told() -> Result<Told, Box<dyn Error>> {
+    let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG names no file")?;
+    let text = std::fs::read(&path).map_err(|error| format!("{path}: {error}"))?;
+    Ok(serde_json::from_slice(&text).map_err(|error| format!("{path}: {error}"))?)
+}
+
+/// Log lines go to standard error, each as soon as it is made.
+fn logger(name: &str) -> Logger {
+    let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
+    let drain = slog_term::FullFormat::new(plain).use_utc_timestamp().build();
+    // A log that nobody takes any more is no reason to stop serving.
+    Logger::root(Mutex::new(drain).ignore_res(), slog::o!("node" => name.to_string()))
+}
+
+fn serve(told: Told, log: &Logger) -> Result<(), Box<dyn Error>> {
+    let facts = Rc::new(wellcrank_words::facts(&told.settings));
+    let mut poll = Poll::new()?;
+    let mut signals = Signals::new([SIGTERM, SIGHUP])?;
+    let registry = poll.registry().try_clone()?;
+    registry.register(&mut signals, turn::Side::Signal.token(0), Interest::READABLE)?;
+    let budget = budget::Budget::new(told.limits.sockets, told.limits.memory_mb);
+    let mut hub = turn::Hub::new(registry, facts.clone(), budget, log.clone());
+    let clients = clients::Clients::listen(&mut hub, told.listen)?;
+    let peers = match told.peer_listen.filter(|_| facts.flag("limits.peers")) {
+        Some(at) => peers::Peers::listen(&mut hub, at, told.peers, told.peers_all)?,
+        None => peers::Peers::default(),
+    };
+    let counter = counter::Counter::new(&mut hub, told.counter);
+    let seed = u64::from_str_radix(&told.seed, 16)?;
+    let now = hub.now;
+    let world = Rc::new(RefCell::new(world::World {
+        hub,
+        calls: calls::Calls::default(),
+        clients,
+        pool: pool::Pool::default(),
+        counter,
+        discovery: discovery::Discovery::new(told.discovery),
+        peers,
+        signals,
+        stopping: None,
+        seconds: 0,
+        next_second: now,
+    }));
+    let port = turn::Hands(world.clone());
+    let mut control = Control::new((*facts).clone(), seed, now, Box::new(port));
+    {
+        let world = &mut *world.borrow_mut();
+        if let Some(known) = told.known.filter(|known| !known.is_empty()) {
+            world.listed(known);
+        }
+        if facts.text("registry_mode") != "subscribe" {
+            world.discovery.follow(&mut world.hub, true);
+        }
+        slog::info!(log, "serving"; "listen" => %told.listen, "budget" => ?world.hub.budget);
+    }
+    turn::run(&mut poll, &world, &mut control)?;
+    slog::info!(log, "stopped: nobody left to answer");
+    Ok(())
+}
+
+/// Runs the gateway that `BALANCER_CONFIG` names; exits with 1 where it cannot start or go on.
+pub fn main() {
+    let done = told().and_then(|told| {
+        let log = logger(&told.name);
+        serve(told, &log)
+    });
+    if let Err(complaint) = done {
+        eprintln!("wellcrank-edge: {complaint}");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/lab/src/agree.rs
@@ -0,0 +1,95 @@
+//! Does the model say what loopback measures? For a known change the model's difference of two variants, with
+//! the interval in which a measurement on the same number of seeds should fall, beside what loopback measures.
+
+use crate::experiment::{Engine, Experiment};
+use crate::measure::Results;
+use crate::runs::{self, Ways};
+use serde::{Deserialize, Serialize};
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+/// One change on one kind of day.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Trial {
+    pub experiment: String,
+    pub base: String,
+    pub other: String,
+    pub figure: String,
+    /// The model's difference, and how far from it a measurement may lie.
+    pub model: f64,
+    pub off: f64,
+    pub measured: f64,
+    pub measured_seeds: usize,
+    /// Loopback runs on which the laboratory ran late.
+    pub late: usize,
+}
+
+impl Trial {
+    pub fn holds(&self) -> bool {
+        (self.model - self.measured).abs() <= self.off
+    }
+}
+
+/// The model's differences by seed.
+fn differences(results: &[Results], base: &str, other: &str, figure: &str) -> Vec<f64> {
+    let value = |it: &Results| it.figures().iter().find(|(name, _)| *name == figure).map_or(0.0, |it| it.1);
+    let sound = || results.iter().filter(|it| !it.lateness.spoilt);
+    let pairs = sound().filter(|one| one.variant == base).filter_map(|one| {
+        let two = sound().find(|two| two.variant == other && two.seed == one.seed)?;
+        Some(value(two) - value(one))
+    });
+    pairs.collect()
+}
+
+/// Where a mean over `count` seeds should fall, from the model's differences: half the width of 95%.
+pub fn reach(differences: &[f64], count: usize) -> f64 {
+    let (n, k) = (differences.len() as f64, count.max(1) as f64);
+    let mean = differences.iter().sum::<f64>() / n;
+    let spread = differences.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / (n - 1.0);
+    let t = StudentsT::new(0.0, 1.0, n - 1.0).map_or(f64::INFINITY, |it| it.inverse_cdf(0.975));
+    t * (spread * (1.0 / n + 1.0 / k)).sqrt()
+}
+
+/// Plays every variant of an experiment against its first in both engines. `model_seeds` in simulated time,
+/// `seeds` on loopback.
+pub fn trials(
+    experiment: &Experiment,
+    ways: &Ways,
+    (model_seeds, seeds): (usize, usize),
+    figure: &str,
+    told: &(dyn Fn(&Result<Results, String>) + Sync),
+) -> Result<Vec<Trial>, String> {
+    let engine = |engine, count: usize| Ways {
+        engine: Some(engine),
+        seeds: Some((1..=count.max(1) as u64).collect()),
+        ..ways.clone()
+    };
+    let model = runs::all(experiment, &engine(Engine::Simulated, model_seeds.max(3)), told)?;
+    let loopback = runs::all(experiment, &engine(Engine::Loopback, seeds), told)?;
+    let sides = experiment.sides();
+    let trial = |other: &crate::experiment::Variant| {
+        let base = &sides[0].name;
+        let simulated = differences(&model, base, &other.name, figure);
+        let measured = differences(&loopback, base, &other.name, figure);
+        let mean = |values: &[f64]| values.iter().sum::<f64>() / values.len().max(1) as f64;
+        Trial {
+            experiment: experiment.title.clone(),
+            base: base.clone(),
+            other: other.name.clone(),
+            figure: figure.to_string(),
+            model: mean(&simulated),
+            off: reach(&simulated, measured.len()),
+            measured: mean(&measured),
+            measured_seeds: measured.len(),
+            late: loopback.iter().filter(|it| it.lateness.spoilt).count(),
+        }
+    };
+    Ok(sides[1..].iter().map(trial).collect())
+}
+
+#[test]
+fn a_measurement_on_fewer_seeds_may_lie_further_off() {
+    let differences = [0.1, 0.12, 0.08, 0.11, 0.09];
+    assert!(reach(&differences, 1) > reach(&differences, 4));
+    // Standard deviation 0.0158, t of 4 degrees 2.776, times the root of 1 + 1/5.
+    assert!((reach(&differences, 1) - 2.776 * 0.015_811 * 1.2f64.sqrt()).abs() < 1e-4);
+}
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -403,18 +403,19 @@
 
 /// Ranges of the project's own; no deployment's figures.
 fn usual_routes() -> Vec<RouteTerms> {
-    let route = |name: &str, share, repeat, work_ms, latency_target, client_timeout, billed_value| RouteTerms {
-        name: name.into(),
-        share,
-        repeat,
-        group: Group::All,
-        memory: if repeat == Repeat::Tokened { 8.0 } else { 0.0 },
-        work_ms,
-        latency_target,
-        client_timeout,
-        billed_value,
-        late_worth: 0.0,
-    };
+    let route =
+        |name: &str, share, repeat, work_ms, latency_target, client_timeout, billed_value| RouteTerms {
+            name: name.into(),
+            share,
+            repeat,
+            group: Group::All,
+            memory: if repeat == Repeat::Tokened { 8.0 } else { 0.0 },
+            work_ms,
+            latency_target,
+            client_timeout,
+            billed_value,
+            late_worth: 0.0,
+        };
     vec![
         route("preview", 0.4, Repeat::Idempotent, 100.0, 1.0, 3.0, 1.0),
         route("submit-track", 0.35, Repeat::Tokened, 120.0, 1.5, 4.0, 4.0),
@@ -717,7 +718,8 @@
         (Value::Array(items), Value::Table(over)) => {
             for (name, value) in over {
                 let named = |item: &&mut Value| item.get("name").and_then(Value::as_str) == Some(name);
-                let item = items.iter_mut().find(named).ok_or_else(|| format!("nothing is named '{name}'"))?;
+                let item =
+                    items.iter_mut().find(named).ok_or_else(|| format!("nothing is named '{name}'"))?;
                 lay_over(item, value)?;
             }
             Ok(())
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,12 +2,18 @@
 //! simulated time ([`simulated`]) and the programs on loopback sockets ([`loopback`]); experiments, a referee
 //! that shares no code with the program, recorded traffic, comparisons and reports.
 
+pub mod agree;
+pub mod bears;
+pub mod clock;
 pub mod experiment;
 pub mod loopback;
 pub mod measure;
 pub mod minds;
 pub mod record;
 pub mod referee;
+pub mod report;
+pub mod runs;
 pub mod simulated;
+pub mod stats;
 pub mod told;
 pub mod world;
--- a/lab/src/loopback/clients.rs
+++ b/lab/src/loopback/clients.rs
@@ -244,12 +244,16 @@
         }
         client.used = true;
         let Some(sent) = client.open.pop_front() else {
-            self.crashes.push(format!("gateway {gateway} at {:.3} s: an answer that nobody asked for", now.as_secs_f64()));
+            self.crashes.push(format!(
+                "gateway {gateway} at {:.3} s: an answer that nobody asked for",
+                now.as_secs_f64()
+            ));
             self.close(key)?;
             return Ok(false);
         };
         let free = client.open.is_empty();
-        let right = |value: &OwnedFrame| matches!(value, OwnedFrame::BulkString(it) if *it == value_bytes(sent.ask));
+        let right =
+            |value: &OwnedFrame| matches!(value, OwnedFrame::BulkString(it) if *it == value_bytes(sent.ask));
         let (verdict, advice) = match &frame {
             OwnedFrame::BulkString(_) => (Verdict::Served { right: right(&frame) }, None),
             OwnedFrame::Array(parts) if matches!(parts.first(), Some(OwnedFrame::BulkString(_))) => {
--- a/lab/src/loopback/counter.rs
+++ b/lab/src/loopback/counter.rs
@@ -96,7 +96,9 @@
     pub(super) fn counted(&mut self, id: CountId, says: CounterSays) -> Result<(), String> {
         let Some(key) = self.counting.remove(&id) else { return Ok(()) };
         match says {
-            CounterSays::Total(total) => self.line_says(key, Some(id), format!("ok {total}\r\n").into_bytes()),
+            CounterSays::Total(total) => {
+                self.line_says(key, Some(id), format!("ok {total}\r\n").into_bytes())
+            }
             CounterSays::Busy => self.line_says(key, Some(id), b"busy\r\n".to_vec()),
             CounterSays::Reset => return self.close(key),
         }
--- a/lab/src/loopback/discovery.rs
+++ b/lab/src/loopback/discovery.rs
@@ -115,7 +115,9 @@
 
     fn watches(&self, which: impl Fn(&Watcher, usize, Duration) -> bool) -> Vec<(usize, usize)> {
         let all = self.places.iter().filter_map(|(key, place)| match place {
-            Place::Discovery(it) => it.waiting.filter(|(after, until)| which(it, *after, *until)).map(|w| (key, w.0)),
+            Place::Discovery(it) => {
+                it.waiting.filter(|(after, until)| which(it, *after, *until)).map(|w| (key, w.0))
+            }
             _ => None,
         });
         all.collect()
--- a/lab/src/loopback/mod.rs
+++ b/lab/src/loopback/mod.rs
@@ -2,7 +2,6 @@
 //! loop and one poll; each gateway meets stand-ins at addresses kept for it alone, so the world knows who asks.
 
 mod clients;
-mod clock;
 mod counter;
 mod discovery;
 mod peers;
@@ -13,12 +12,12 @@
 
 pub use tap::tap;
 
+use crate::clock::Clock;
 use crate::experiment::{Experiment, Variant};
 use crate::measure::{Results, Second};
 use crate::record::{Recorded, Recorder};
 use crate::told;
 use crate::world::{Act, AskId, CountId, GatewayState, ServerNo, TryId, World};
-use clock::Clock;
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Registry, Token};
 use nanorand::{Rng, WyRand};
@@ -42,10 +41,17 @@
 /// What a run is told each second: which one, what it brought, how many tries are out.
 pub type Watch<'a> = dyn FnMut(u64, &Second) + 'a;
 
+/// An edge node's program, and what it is started with.
+#[derive(Clone, Debug, Default)]
+pub struct Program {
+    pub path: PathBuf,
+    pub arguments: Vec<String>,
+}
+
 #[derive(Default)]
 pub struct Terms<'a> {
-    /// The program that is played: an edge node.
-    pub edge: PathBuf,
+    /// The program that is played.
+    pub edge: Program,
     pub replay: Vec<Recorded>,
     /// A file for what clients ask.
     pub record: Option<PathBuf>,
@@ -97,7 +103,7 @@
     places: Slab<Place>,
     gateways: Vec<Gateway>,
     folder: Folder,
-    program: PathBuf,
+    program: Program,
     told: toml::Table,
     logs: Option<PathBuf>,
     seeds: WyRand,
@@ -120,7 +126,12 @@
 }
 
 /// Plays one day of an experiment on loopback, as a variant has it.
-pub fn play(experiment: &Experiment, variant: &Variant, seed: u64, mut terms: Terms) -> Result<Results, String> {
+pub fn play(
+    experiment: &Experiment,
+    variant: &Variant,
+    seed: u64,
+    mut terms: Terms,
+) -> Result<Results, String> {
     let changed = experiment.with(variant).map_err(|wrongs| format!("{wrongs:?}"))?;
     let said = |error: std::io::Error| error.to_string();
     let poll = Poll::new().map_err(said)?;
@@ -145,7 +156,10 @@
         places: Slab::new(),
         gateways: Vec::new(),
         folder: Folder::new()?,
-        program: variant.edge.clone().map_or(terms.edge.clone(), PathBuf::from),
+        program: match &variant.edge {
+            Some(path) => Program { path: path.into(), arguments: Vec::new() },
+            None => terms.edge.clone(),
+        },
         told: variant.told.clone(),
         logs: terms.logs.clone(),
         seeds: WyRand::new_seed(seed ^ 0x5eed),
@@ -181,7 +195,8 @@
     let most = stage.gateways.iter().map(|it| it.process.resident).max().unwrap_or(0);
     results.gateway_mb = most as f64 / f64::from(1 << 20);
     let named = |at: &u32| stage.world.servers[*at as usize].uid.clone();
-    results.server_load = stage.world.measure.busy.iter().map(|(at, load)| (named(at), load.clone())).collect();
+    results.server_load =
+        stage.world.measure.busy.iter().map(|(at, load)| (named(at), load.clone())).collect();
     if let Some(recorder) = stage.recorder.take() {
         recorder.finish().map_err(said)?;
     }
@@ -250,7 +265,9 @@
 
     fn address(&self, key: Option<usize>) -> Option<SocketAddr> {
         match self.places.get(key?) {
-            Some(Place::CounterDoor { door, .. } | Place::DiscoveryDoor { door, .. }) => door.local_addr().ok(),
+            Some(Place::CounterDoor { door, .. } | Place::DiscoveryDoor { door, .. }) => {
+                door.local_addr().ok()
+            }
             _ => None,
         }
     }
@@ -312,7 +329,10 @@
                     (self.now, self.begun, next_look) = (Duration::ZERO, true, Duration::ZERO);
                     self.rebase();
                 } else if self.now > give_up {
-                    return Err(format!("the gateways were not ready within {give_up:?}: {:?}", self.crashes));
+                    return Err(format!(
+                        "the gateways were not ready within {give_up:?}: {:?}",
+                        self.crashes
+                    ));
                 }
             }
             if self.begun {
@@ -421,9 +441,9 @@
                 }
                 Ok(())
             }
-            Some(
-                Place::ServerDoor { .. } | Place::CounterDoor { .. } | Place::DiscoveryDoor { .. },
-            ) => self.accept(key),
+            Some(Place::ServerDoor { .. } | Place::CounterDoor { .. } | Place::DiscoveryDoor { .. }) => {
+                self.accept(key)
+            }
             Some(Place::Peer { .. }) => {
                 self.datagrams(key);
                 Ok(())
@@ -438,7 +458,9 @@
     fn accept(&mut self, key: usize) -> Result<(), String> {
         loop {
             let Some(
-                Place::ServerDoor { door, .. } | Place::CounterDoor { door, .. } | Place::DiscoveryDoor { door, .. },
+                Place::ServerDoor { door, .. }
+                | Place::CounterDoor { door, .. }
+                | Place::DiscoveryDoor { door, .. },
             ) = self.places.get(key)
             else {
                 return Ok(());
--- a/lab/src/loopback/process.rs
+++ b/lab/src/loopback/process.rs
@@ -1,5 +1,6 @@
 //! The gateways' processes: started with a file of their own, signalled, and never left behind.
 
+use super::Program;
 use rustix::process::{kill_process, Pid, Signal};
 use std::fs;
 use std::net::SocketAddr;
@@ -41,7 +42,7 @@
         Process { child: None, cpu: 0.0, resident: 0, lives_cpu: 0.0 }
     }
 
-    pub fn start(&mut self, program: &Path, file: &Path, log: Option<&Path>) -> Result<(), String> {
+    pub fn start(&mut self, program: &Program, file: &Path, log: Option<&Path>) -> Result<(), String> {
         self.kill();
         let said = match log {
             Some(path) => {
@@ -50,7 +51,8 @@
             }
             None => Stdio::null(),
         };
-        let mut command = Command::new(program);
+        let mut command = Command::new(&program.path);
+        command.args(&program.arguments);
         command.env("BALANCER_CONFIG", file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(said);
         // A laboratory that is killed outright can't end its gateways: the system does. Set between fork and
         // exec, where only calls such as this one are allowed.
@@ -61,7 +63,7 @@
                 Ok(())
             });
         }
-        let child = command.spawn().map_err(|error| format!("{}: {error}", program.display()))?;
+        let child = command.spawn().map_err(|error| format!("{}: {error}", program.path.display()))?;
         self.child = Some(child);
         Ok(())
     }
--- a/lab/src/loopback/servers.rs
+++ b/lab/src/loopback/servers.rs
@@ -50,7 +50,8 @@
     };
     match says {
         Says::Value { units, load } => {
-            let load = load.map(|it| format!("inflight={},queue={},util={:.2}", it.inflight, it.queue, it.util));
+            let load =
+                load.map(|it| format!("inflight={},queue={},util={:.2}", it.inflight, it.queue, it.util));
             good(units, load.unwrap_or_default())
         }
         Says::Busy => b"-BUSY\r\n".to_vec(),
--- a/lab/src/loopback/tap.rs
+++ b/lab/src/loopback/tap.rs
@@ -1,7 +1,7 @@
 //! A tap before a gateway: passes on all that clients and gateway say to each other, and records what was
 //! asked.
 
-use super::clock::Clock;
+use crate::clock::Clock;
 use crate::record::{Recorded, Recorder};
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
--- a/lab/src/minds.rs
+++ b/lab/src/minds.rs
@@ -206,7 +206,8 @@
         "defer" => Deed::Wake(WakeToken(said["token"].as_u64().unwrap_or(0)), span("due_at_ns")),
         "post" => {
             let body = text("body");
-            let bytes = (0..body.len() / 2).filter_map(|at| u8::from_str_radix(&body[at * 2..at * 2 + 2], 16).ok());
+            let bytes =
+                (0..body.len() / 2).filter_map(|at| u8::from_str_radix(&body[at * 2..at * 2 + 2], 16).ok());
             Deed::Tell(said["recipient"].as_u64().map(|peer| peer as u32), bytes.collect())
         }
         _ => return None,
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -153,9 +153,18 @@
         let good = r#"{"at_ms":9,"account":"07","plan":"p","route":"r","units":1}"#;
         for (lines, wanted) in [
             (vec![r#"{"format":"other","version":1}"#], "line 1: expected wellcrank-asked 1"),
-            (vec![head, good, r#"{"at_ms":8,"account":"07","plan":"p","route":"r","units":1}"#], "line 3: expected lines"),
-            (vec![head, r#"{"at_ms":8,"account":"x","plan":"p","route":"r","units":1}"#], "line 2: no account"),
-            (vec![head, r#"{"at_ms":8,"account":"07","plan":"p","route":"r","units":-1}"#], "line 2: expected a time"),
+            (
+                vec![head, good, r#"{"at_ms":8,"account":"07","plan":"p","route":"r","units":1}"#],
+                "line 3: expected lines",
+            ),
+            (
+                vec![head, r#"{"at_ms":8,"account":"x","plan":"p","route":"r","units":1}"#],
+                "line 2: no account",
+            ),
+            (
+                vec![head, r#"{"at_ms":8,"account":"07","plan":"p","route":"r","units":-1}"#],
+                "line 2: expected a time",
+            ),
             (vec![head, "{}"], "line 2: missing field"),
         ] {
             let why = read(&file(&lines)[..]).unwrap_err();
--- a/lab/src/referee.rs
+++ b/lab/src/referee.rs
@@ -128,7 +128,14 @@
         }
     }
 
-    fn breaks(&mut self, rule: Rule, now: Duration, call: Option<AskId>, gateway: Option<usize>, what: String) {
+    fn breaks(
+        &mut self,
+        rule: Rule,
+        now: Duration,
+        call: Option<AskId>,
+        gateway: Option<usize>,
+        what: String,
+    ) {
         self.count += 1;
         if self.broken.len() < KEPT {
             let (at, call) = (now.as_secs_f64(), call.map(|id| id.0));
@@ -170,8 +177,7 @@
     ) {
         self.open[gateway].insert(ask);
         let tries = Vec::new();
-        let seen =
-            Seen { route, gateway, account, units, until, tries, answer: None, excused: false };
+        let seen = Seen { route, gateway, account, units, until, tries, answer: None, excused: false };
         self.asks.insert(ask, seen);
     }
 
@@ -256,7 +262,10 @@
         purse.left = (purse.left + now.saturating_sub(purse.at).as_secs_f64() * rate).min(depth) - units;
         purse.at = now;
         if purse.left < 0.0 {
-            let what = format!("account {account} of plan {} is {:.1} units past its ceiling", plan.name, -purse.left);
+            let what = format!(
+                "account {account} of plan {} is {:.1} units past its ceiling",
+                plan.name, -purse.left
+            );
             purse.left = 0.0;
             self.breaks(Rule::Ceilings, now, Some(ask), Some(gateway), what);
         }
@@ -294,7 +303,8 @@
             wrongs.push((Rule::OneAnswer, what));
         }
         let route = &self.terms.routes[seen.route];
-        let may_have_run = seen.tries.iter().any(|it| it.end.is_none_or(|(_, end)| end != TryEnd::TurnedAway));
+        let may_have_run =
+            seen.tries.iter().any(|it| it.end.is_none_or(|(_, end)| end != TryEnd::TurnedAway));
         let harmless = match route.repeat {
             Repeat::Idempotent => true,
             // A client's next try is a new API call, but has the key that is known.
--- a/lab/src/simulated.rs
+++ b/lab/src/simulated.rs
@@ -550,7 +550,13 @@
 
     /// Sends an API call on, as the edge node does: if it is open, has a try and time left and the list lets
     /// it; over the latest used connection, or a new one if there may be one.
-    fn send(&mut self, gateway: usize, ask: AskId, server: &ServerId, timeout: Duration) -> Result<(), String> {
+    fn send(
+        &mut self,
+        gateway: usize,
+        ask: AskId,
+        server: &ServerId,
+        timeout: Duration,
+    ) -> Result<(), String> {
         let now = self.now;
         let mut server = self.servers.get(&*server.0).copied();
         if self.fault == Some(Fault::LikesTheCold) {
@@ -578,7 +584,8 @@
             Some(_) => false,
         };
         let full = !warm && it.connections >= sockets.div_ceil(3);
-        let how = if full && how.is_none() && !self.make_room(gateway) { Some(Outcome::NotSent) } else { how };
+        let how =
+            if full && how.is_none() && !self.make_room(gateway) { Some(Outcome::NotSent) } else { how };
         let out = Out { server, sent: now, there: None, fresh: !warm };
         self.gateways[gateway].tries.insert((ask, number), out);
         if let Some(how) = how {
--- /dev/null
+++ b/lab/src/stats.rs
@@ -0,0 +1,150 @@
+//! Differences between variants, paired by seed, with intervals of 95%.
+
+use crate::measure::Results;
+use serde::{Deserialize, Serialize};
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+/// A mean and how far from it the truth may be; no interval from one value alone.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Interval {
+    pub mean: f64,
+    pub off: Option<f64>,
+}
+
+impl Interval {
+    pub fn of(values: &[f64]) -> Interval {
+        let count = values.len() as f64;
+        let mean = values.iter().sum::<f64>() / count.max(1.0);
+        if values.len() < 2 {
+            return Interval { mean, off: None };
+        }
+        let spread = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / (count - 1.0);
+        let reach = StudentsT::new(0.0, 1.0, count - 1.0).map_or(f64::NAN, |it| it.inverse_cdf(0.975));
+        Interval { mean, off: Some(reach * (spread / count).sqrt()) }
+    }
+
+    pub fn holds(&self, value: f64) -> bool {
+        self.off.is_some_and(|off| (value - self.mean).abs() <= off + 1e-12)
+    }
+}
+
+impl std::fmt::Display for Interval {
+    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self.off {
+            Some(off) => write!(out, "{:+.4} ± {:.4}", self.mean, off),
+            None => write!(out, "{:+.4}", self.mean),
+        }
+    }
+}
+
+/// One figure of two variants.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    pub figure: String,
+    pub base: f64,
+    pub other: f64,
+    pub difference: Interval,
+    pub pairs: usize,
+}
+
+/// A variant against the first one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Comparison {
+    pub engine: String,
+    pub base: String,
+    pub other: String,
+    pub rows: Vec<Row>,
+    /// Runs on which the laboratory ran late, and which are left out.
+    pub late: usize,
+}
+
+/// The variants in the order in which they stand in the results.
+pub fn variants(results: &[Results]) -> Vec<String> {
+    let mut names: Vec<String> = Vec::new();
+    for it in results.iter().filter(|it| !names.contains(&it.variant)).collect::<Vec<_>>() {
+        if !names.contains(&it.variant) {
+            names.push(it.variant.clone());
+        }
+    }
+    names
+}
+
+/// Compares every variant with the first, seed by seed. Runs that the laboratory spoilt are left out and
+/// counted.
+pub fn compare(results: &[Results]) -> Vec<Comparison> {
+    let mut engines: Vec<&str> = results.iter().map(|it| it.engine.as_str()).collect();
+    engines.sort_unstable();
+    engines.dedup();
+    let mut all = Vec::new();
+    for engine in engines {
+        let of: Vec<&Results> = results.iter().filter(|it| it.engine == engine).collect();
+        let names = variants(results);
+        let Some(base) = names.first() else { continue };
+        for other in &names[1..] {
+            let mut late = 0;
+            let mut pairs = Vec::new();
+            for one in of.iter().filter(|it| it.variant == *base) {
+                let two = of.iter().find(|it| it.variant == *other && it.seed == one.seed);
+                let Some(two) = two else { continue };
+                if one.lateness.spoilt || two.lateness.spoilt {
+                    late += 1;
+                    continue;
+                }
+                pairs.push((one.figures(), two.figures()));
+            }
+            let count = pairs.first().map_or(0, |pair| pair.0.len());
+            let rows = (0..count).map(|place| {
+                let column =
+                    |pick: &dyn Fn(&(Figures, Figures)) -> f64| pairs.iter().map(pick).collect::<Vec<f64>>();
+                let (ones, twos) = (column(&|pair| pair.0[place].1), column(&|pair| pair.1[place].1));
+                let differences: Vec<f64> = ones.iter().zip(&twos).map(|(one, two)| two - one).collect();
+                let mean = |values: &[f64]| values.iter().sum::<f64>() / values.len().max(1) as f64;
+                Row {
+                    figure: pairs[0].0[place].0.to_string(),
+                    base: mean(&ones),
+                    other: mean(&twos),
+                    difference: Interval::of(&differences),
+                    pairs: pairs.len(),
+                }
+            });
+            let (rows, engine) = (rows.collect(), engine.to_string());
+            all.push(Comparison { engine, base: base.clone(), other: other.clone(), rows, late });
+        }
+    }
+    all
+}
+
+type Figures = Vec<(&'static str, f64)>;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn intervals_are_those_of_the_books() {
+        // Four values of mean 5 and standard deviation 2: 3.182 x 2 / 2.
+        let off = 2.0 * (3.0f64 / 4.0).sqrt();
+        let interval = Interval::of(&[5.0 - off, 5.0 + off, 5.0 - off, 5.0 + off]);
+        assert!((interval.mean - 5.0).abs() < 1e-9);
+        assert!((interval.off.unwrap() - 3.182).abs() < 1e-3, "{interval}");
+        assert!(interval.holds(8.0) && !interval.holds(8.3));
+        assert_eq!(Interval::of(&[1.0]).off, None);
+    }
+
+    #[test]
+    fn pairs_go_by_seed_and_late_runs_are_left_out() {
+        let run = |variant: &str, seed, in_time| {
+            let mut it =
+                Results { variant: variant.into(), seed, engine: "simulated".into(), ..Results::default() };
+            (it.all.value_asked, it.all.value_in_time) = (10.0, in_time);
+            it
+        };
+        let mut results = vec![run("a", 1, 5.0), run("a", 2, 6.0), run("b", 2, 7.0), run("b", 1, 6.0)];
+        results.extend([run("a", 3, 9.0), run("b", 3, 1.0)]);
+        results[5].lateness.spoilt = true;
+        let found = &compare(&results)[0];
+        assert_eq!((found.late, found.rows[0].pairs), (1, 2));
+        assert!((found.rows[0].difference.mean - 0.1).abs() < 1e-12, "{:?}", found.rows[0]);
+        assert!(found.rows[0].difference.off.unwrap() < 1e-9);
+    }
+}
--- a/lab/src/world/agenda.rs
+++ b/lab/src/world/agenda.rs
@@ -22,9 +22,15 @@
     /// A line of the counter is done with a call.
     Counted(CountId),
     /// A change of the list reaches a gateway.
-    Told { gateway: usize, change: usize },
+    Told {
+        gateway: usize,
+        change: usize,
+    },
     /// A trouble begins, takes a step, ends.
-    Trouble { place: usize, step: usize },
+    Trouble {
+        place: usize,
+        step: usize,
+    },
     TroubleEnds(usize),
     /// A server that was down is back.
     Returns(ServerNo),
--- a/lab/src/world/clients.rs
+++ b/lab/src/world/clients.rs
@@ -114,7 +114,8 @@
             // Without a rate an account asks about twice a second.
             let usual = if plan.rate > 0.0 { plan.rate * load.use_usual / units } else { 2.0 };
             let count = (wanted / usual).ceil().max(if wanted > 0.0 { 1.0 } else { 0.0 });
-            let mut drawn: Vec<f64> = (0..count as usize).map(|_| 0.3 + 1.4 * rng.generate::<f64>()).collect();
+            let mut drawn: Vec<f64> =
+                (0..count as usize).map(|_| 0.3 + 1.4 * rng.generate::<f64>()).collect();
             let sum: f64 = drawn.iter().sum();
             drawn.iter_mut().for_each(|share| *share *= wanted / sum);
             for calls in drawn {
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -53,7 +53,10 @@
     /// The counter answers a call.
     Counted(CountId, CounterSays),
     /// The gateway is told of the list's changes up to and without this one.
-    Told { gateway: usize, upto: usize },
+    Told {
+        gateway: usize,
+        upto: usize,
+    },
     /// A server is new, refuses connections and resets the open ones, or is there again.
     Born(ServerNo),
     Down(ServerNo),
@@ -72,7 +75,10 @@
 /// What a server says.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Says {
-    Value { units: Option<f64>, load: Option<Report> },
+    Value {
+        units: Option<f64>,
+        load: Option<Report>,
+    },
     Busy,
     Failed,
     /// Something that cannot be read; which kind of it.
@@ -540,7 +546,8 @@
                 let cap = self.terms.plans[self.clients.accounts[account].plan].cap;
                 let it = &mut self.clients.accounts[account];
                 let room = it.sent.holds(now, units) && (cap <= 0.0 || it.out < cap);
-                let half = it.sent.holds(now, units.max(it.sent.depth / 2.0)) && (cap <= 0.0 || it.out < cap / 2.0);
+                let half =
+                    it.sent.holds(now, units.max(it.sent.depth / 2.0)) && (cap <= 0.0 || it.out < cap / 2.0);
                 let second = self.measure.at(now);
                 second.limited_with_room += u64::from(room);
                 second.limited_half_unused += u64::from(half);
@@ -700,7 +707,8 @@
         if silent || self.tries[of.0 as usize].ended {
             return;
         }
-        let origin = &self.clients.origins[self.asks[self.tries[of.0 as usize].ask.0 as usize].origin.0 as usize];
+        let origin =
+            &self.clients.origins[self.asks[self.tries[of.0 as usize].ask.0 as usize].origin.0 as usize];
         let (units, account) = (origin.true_units, origin.account as usize);
         let asked = origin.units;
         let drawn = self.chance.generate::<f64>();
--- a/lab/src/world/troubles.rs
+++ b/lab/src/world/troubles.rs
@@ -155,7 +155,7 @@
                 }
                 self.taken_servers.insert(place, servers);
             }
-            TroubleKind::Surge | TroubleKind::DeadlineSurge | TroubleKind::PlanBurst | TroubleKind::Scan => (),
+            TroubleKind::Surge | TroubleKind::DeadlineSurge | TroubleKind::PlanBurst | TroubleKind::Scan => {}
             TroubleKind::Shift => {
                 for account in &mut self.clients.accounts {
                     if self.chance.generate::<f64>() < it.share {
