--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -80,8 +80,9 @@
     pub overload_for: f64,
     /// Work goes on after the gateway has given a try up, or stops.
     pub stops_work: bool,
-    /// Answers hold a load report, refreshed so often; 0: they do not.
+    /// Servers tell their load, refreshed so often, in answers and to probes; 0: they do not.
     pub report_every: f64,
+    pub probes: bool,
     pub max_tries: u32,
     /// After being told that a server drains or is gone, a gateway may send to it for so long.
     pub drain_grace: f64,
@@ -108,6 +109,7 @@
             overload_for: 1.0,
             stops_work: true,
             report_every: 0.0,
+            probes: false,
             max_tries: 3,
             drain_grace: 0.5,
             connect_timeout: 0.25,
--- a/lab/src/loopback/mod.rs
+++ b/lab/src/loopback/mod.rs
@@ -415,6 +415,7 @@
         }
         self.land();
         self.watches_over();
+        self.close_idle()?;
         self.bad_over()
     }
 
@@ -473,7 +474,7 @@
                 Some(Place::ServerDoor { gateway, server, .. }) => {
                     let (gateway, server) = (*gateway, *server);
                     self.world.connected(self.now, server);
-                    Place::Upstream(servers::Upstream::new(wire, gateway, server))
+                    Place::Upstream(servers::Upstream::new(wire, gateway, server, self.now))
                 }
                 Some(Place::CounterDoor { gateway, .. }) => {
                     Place::Counter(counter::Line::new(wire, *gateway, key))
--- a/lab/src/loopback/servers.rs
+++ b/lab/src/loopback/servers.rs
@@ -8,6 +8,7 @@
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
 use serde_json::Value;
+use std::time::Duration;
 
 pub struct Upstream {
     pub wire: Wire,
@@ -16,11 +17,13 @@
     /// Nothing has come on it yet: the first command pays for the handshake.
     fresh: bool,
     turns: Turns<TryId>,
+    /// When something came or went on it last.
+    used: Duration,
 }
 
 impl Upstream {
-    pub fn new(wire: Wire, gateway: usize, server: ServerNo) -> Upstream {
-        Upstream { wire, gateway, server, fresh: true, turns: Turns::default() }
+    pub fn new(wire: Wire, gateway: usize, server: ServerNo, used: Duration) -> Upstream {
+        Upstream { wire, gateway, server, fresh: true, turns: Turns::default(), used }
     }
 }
 
@@ -112,6 +115,7 @@
             return Ok(());
         }
         let open = it.wire.read();
+        it.used = self.now;
         let (gateway, server) = (it.gateway, it.server);
         let (mut took, mut wrong) = (0, false);
         let mut commands = Vec::new();
@@ -151,6 +155,9 @@
         let at_once = match verb.as_slice() {
             b"PING" => b"+PONG\r\n".as_slice(),
             b"CLIENT" | b"SELECT" => b"+OK\r\n",
+            b"INFO" if words.get(1).is_some_and(|word| word == b"load") => {
+                return Ok(self.probed(key, server))
+            }
             b"SVC.QUERY" | b"SVC.SUBMIT" => {
                 let Some(ask) = asked(words).filter(|ask| (ask.0 as usize) < self.world.asks.len()) else {
                     return Ok(false);
@@ -175,17 +182,45 @@
         Ok(true)
     }
 
+    /// A probe: answered with the server's load where the settings allow that.
+    fn probed(&mut self, key: usize, server: ServerNo) -> bool {
+        let said = match self.world.probed(self.now, server) {
+            Some(load) => {
+                let text = format!("inflight={},queue={},util={:.2}", load.inflight, load.queue, load.util);
+                encoded(&bulk(text))
+            }
+            None => b"-NOPERM\r\n".to_vec(),
+        };
+        if let Some(Place::Upstream(it)) = self.places.get_mut(key) {
+            it.wire.put(&said);
+            self.written.push(key);
+        }
+        true
+    }
+
     pub(super) fn reply(&mut self, of: TryId, says: Says) -> Result<(), String> {
         let ask = self.world.tries[of.0 as usize].ask;
         let Some(key) = self.trying.remove(&of) else { return Ok(()) };
         if let Some(Place::Upstream(it)) = self.places.get_mut(key) {
             let out = it.turns.answered(of, said(says, ask));
             it.wire.put(&out);
+            it.used = self.now;
             self.written.push(key);
         }
         Ok(())
     }
 
+    /// Connections that have stood idle for the time that a server keeps them are closed by it.
+    pub(super) fn close_idle(&mut self) -> Result<(), String> {
+        let keep = Duration::from_secs_f64(self.world.terms.fleet.idle_close);
+        let old = |place: &Place| match place {
+            Place::Upstream(it) => it.turns.open().next().is_none() && it.used + keep <= self.now,
+            _ => false,
+        };
+        let keys: Vec<usize> = self.places.iter().filter(|(_, it)| old(it)).map(|(key, _)| key).collect();
+        keys.into_iter().try_for_each(|key| self.close(key))
+    }
+
     pub(super) fn upstream_over(&mut self, it: Upstream) {
         for of in it.turns.open() {
             self.trying.remove(&of);
--- a/lab/src/simulated.rs
+++ b/lab/src/simulated.rs
@@ -658,6 +658,11 @@
             }
             Says::Busy => self.ended(key, Outcome::TurnedAway, None, BTreeMap::new(), true),
             Says::Failed => self.ended(key, Outcome::ServerError, None, BTreeMap::new(), true),
+            // A good answer with more behind it serves, and ends the connection.
+            Says::Spoilt(4..) => {
+                self.answer(key.0, &call_id(key.2), Verdict::Served { right: true }, None);
+                self.ended(key, Outcome::Proxied, None, BTreeMap::new(), false)
+            }
             // What can't be read ends the connection, and the server may have run it.
             Says::Spoilt(_) => self.ended(key, Outcome::ServerError, None, BTreeMap::new(), false),
         }
--- a/lab/src/told.rs
+++ b/lab/src/told.rs
@@ -46,7 +46,7 @@
             "cancelling": true, "connect_timeout_ns": nanos(fleet.connect_timeout),
             "idle_close_ns": nanos(fleet.idle_close), "max_attempts": fleet.max_tries, "max_open": 100_000,
             "max_retry_after_ns": nanos(longest.max(30.0)), "may_duplicate": false,
-            "may_probe": false, "multiplex": 1, "peers": experiment.network.peers, "retry_after": true,
+            "may_probe": fleet.probes, "multiplex": 1, "peers": experiment.network.peers, "retry_after": true,
         },
         "classes": routes,
         "clients": {"marks_retry": true},
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -9,7 +9,7 @@
 pub mod server;
 mod troubles;
 
-use crate::experiment::Experiment;
+use crate::experiment::{Experiment, Group};
 use crate::measure::Measure;
 use crate::record::Recorded;
 use crate::referee::{Referee, TryEnd, Verdict};
@@ -165,6 +165,8 @@
     deaf: (Duration, f64),
     scan: Vec<(Duration, Duration, f64)>,
     taken_servers: BTreeMap<usize, Vec<ServerNo>>,
+    /// When tokens were first begun, by the group of servers that drops their repeats.
+    tokens: BTreeMap<(u64, u64), Duration>,
     last_busy: Vec<f64>,
     next_busy: u64,
 }
@@ -208,6 +210,7 @@
             deaf: (Duration::ZERO, 0.0),
             scan: Vec::new(),
             taken_servers: BTreeMap::new(),
+            tokens: BTreeMap::new(),
             last_busy: Vec::new(),
             next_busy: 1,
             terms: terms.clone(),
@@ -346,13 +349,16 @@
     /// Once a second what each server was busy is noted; the referee forgets what is long over.
     fn count_busy(&mut self, now: Duration) {
         while now.as_secs() >= self.next_busy {
-            for (place, server) in self.servers.iter().enumerate() {
+            let counted = self.next_busy <= self.length.as_secs();
+            for (place, server) in self.servers.iter().enumerate().filter(|_| counted) {
                 let spent = server.busy - self.last_busy[place];
                 let load = self.measure.busy.entry(place as u32).or_default();
                 load.resize(self.next_busy as usize - 1, 0.0);
                 load.push((spent / server.build.cores as f64) as f32);
                 self.last_busy[place] = server.busy;
             }
+            let memory = self.terms.routes.iter().map(|route| route.memory).fold(0.0, f64::max);
+            self.tokens.retain(|_, begun| *begun + secs(memory) >= now);
             let long = Duration::from_secs(30);
             self.referee.forget(Duration::from_secs(self.next_busy).saturating_sub(long));
             self.next_busy += 1;
@@ -622,15 +628,17 @@
             return id;
         }
         if terms.memory > 0.0 {
-            if it.tokens.get(&key).is_some_and(|begun| *begun + memory >= now) {
+            let group = match terms.group {
+                Group::All => 0,
+                Group::Cell => 1 + it.cell,
+                Group::Zone => 1 + it.zone as u64,
+            };
+            if self.tokens.get(&(group, key)).is_some_and(|begun| *begun + memory >= now) {
                 // A repeat: dropped, and answered with what was made before.
                 self.will_say(now, id, Says::Value { units: None, load: None });
                 return id;
             }
-            it.tokens.insert(key, now);
-            if it.tokens.len() > 4096 {
-                it.tokens.retain(|_, begun| *begun + memory >= now);
-            }
+            self.tokens.insert((group, key), now);
         }
         let handshake = if fresh { fleet.handshake_ms / 1e3 } else { 0.0 };
         let task = Task { of: id, work: work + handshake };
@@ -748,9 +756,12 @@
         acts.push(Act::Reply(of, says));
     }
 
-    /// Whether a try is still out, as far as its server goes.
-    pub fn is_out(&self, of: TryId) -> bool {
-        !self.tries[of.0 as usize].ended
+    /// A probe of a server's load, where there may be any and it can answer.
+    pub fn probed(&mut self, now: Duration, server: ServerNo) -> Option<Report> {
+        let fleet = &self.terms.fleet;
+        let (may, every) = (fleet.probes, secs(fleet.report_every));
+        let it = &mut self.servers[server.0 as usize];
+        (may && it.health == Health::Up).then(|| it.report(now, every))
     }
 
     // ---- the counter ----
--- a/lab/src/world/server.rs
+++ b/lab/src/world/server.rs
@@ -1,7 +1,7 @@
 //! One app server: cores, a queue, warmth, and what may be wrong with it. Knows nothing of sockets.
 
 use super::TryId;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// How a server can be reached.
@@ -64,8 +64,6 @@
     waiting: VecDeque<Task>,
     /// Work of late that came while it was cold.
     pushed: VecDeque<(Duration, f64)>,
-    /// When repeats of a token were first begun.
-    pub tokens: BTreeMap<u64, Duration>,
     /// Core seconds spent, for its load.
     pub busy: f64,
     pub report: Report,
@@ -107,7 +105,6 @@
             running: Vec::new(),
             waiting: VecDeque::new(),
             pushed: VecDeque::new(),
-            tokens: BTreeMap::new(),
             busy: 0.0,
             report: Report::default(),
         }
@@ -184,7 +181,6 @@
         self.health = health;
         self.life += 1;
         self.pushed.clear();
-        self.tokens.clear();
         let mut lost = std::mem::take(&mut self.running);
         lost.extend(self.waiting.drain(..).map(|task| task.of));
         lost
--- a/tool/tests/scenarios.rs
+++ b/tool/tests/scenarios.rs
@@ -12,7 +12,7 @@
 //! start lab up             starts the command and leaves it running
 //! hears TEXT               waits until its output holds the text
 //! interrupt                Ctrl-C, as a terminal sends it to the command alone; waits for its end
-//! alone                    no process that it started is left
+//! alone 3                  of the processes that it had started, so many at least, none is left
 //! tapped N                 in place of a gateway: a server that answers N commands behind 'lab record'
 //! ```
 
@@ -157,8 +157,8 @@
                 });
                 self.running = None;
             }
-            ["alone"] => {
-                assert!(!self.started.is_empty(), "it had started something");
+            ["alone", least] => {
+                assert!(self.started.len() >= least.parse().expect("a number"), "it had started more");
                 let left: Vec<&String> =
                     self.started.iter().filter(|it| PathBuf::from(format!("/proc/{it}")).exists()).collect();
                 assert!(left.is_empty(), "{left:?}");
