--- a/lab/src/world/clients.rs
+++ b/lab/src/world/clients.rs
@@ -37,6 +37,8 @@
     pub retries: u32,
     /// It fitted its quota when it first came.
     pub inside: bool,
+    /// It was sent on within the quota.
+    pub within: bool,
     pub done: bool,
     pub earned: bool,
 }
@@ -217,6 +219,7 @@
             key: self.work.generate(),
             retries: 0,
             inside,
+            within: false,
             done: false,
             earned: false,
         });
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -539,7 +539,7 @@
                 self.measure.proxied(now, took);
                 let route = &self.terms.routes[origin.route];
                 let worth = if took <= secs(route.latency_target) { 1.0 } else { route.late_worth };
-                let (born, first) = (it.born, !origin.earned && origin.inside);
+                let (born, first) = (it.born, !origin.earned && origin.within);
                 if first {
                     let value = self.value(id.0 as usize);
                     self.measure.at(born).value_in_time += value * worth;
@@ -611,8 +611,10 @@
             (origin.account as usize, origin.units, origin.work, origin.key, origin.route);
         self.clients.accounts[account].out += 1.0;
         if first {
+            let origin = it.origin;
             self.measure.first_try(now, now.saturating_sub(born));
-            self.sent_on(now, account, units, route);
+            let within = self.sent_on(now, account, units, route);
+            self.clients.origins[origin.0 as usize].within = within;
         }
         let silent = self.servers[server.0 as usize].health == Health::Silent;
         let apart = self.apart(now, gateway, self.servers[server.0 as usize].zone);
@@ -657,7 +659,7 @@
     }
 
     /// A first try takes its units from the quota, as it truly is.
-    fn sent_on(&mut self, now: Duration, account: usize, units: f64, route: usize) {
+    fn sent_on(&mut self, now: Duration, account: usize, units: f64, route: usize) -> bool {
         let it = &mut self.clients.accounts[account];
         let plan = &self.terms.plans[it.plan];
         let fits = it.sent.pay(now, units);
@@ -668,6 +670,7 @@
             second.beyond += units;
             second.beyond_cost += value * plan.over_cost;
         }
+        fits
     }
 
     /// The gateway has given a try up, or its connection has gone.
--- a/src/control.rs
+++ b/src/control.rs
@@ -10,6 +10,7 @@
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
+use wellcrank_fleet::subset;
 
 const PERIOD: Duration = ms(3000); // hold lifetime: the period of a holds' name
 const RENEW_AHEAD: Duration = ms(100); // so long before the period's edge the holds are renewed
@@ -22,6 +23,7 @@
 const PROMPT: f64 = 0.7; // an answer within this share of the counter's time limit is prompt
 const ERRORS: u32 = 3; // so many in a row, each after a slowing, are an outage
 const SPARE: f64 = 0.7; // with this share of the calls in hand, what can be done without is done
+const LOOK: Duration = ms(10_000); // so long after a look at a customer another one is worth a call
 const AHEAD: f64 = 0.5; // of a window: a block's recent demand while calls are scarce
 const ADVICE: Duration = ms(5000); // per call ahead
 const LONGEST_ADVICE: Duration = ms(30_000);
@@ -44,7 +46,9 @@
     now: Duration,
     started: Duration,
     servers: BTreeMap<ServerId, Server>,
+    /// All servers as they stand on the ring, and the part of them that this gateway uses.
     ids: Vec<ServerId>,
+    own: Vec<ServerId>,
     calls: BTreeMap<CallId, Call>,
     accounts: BTreeMap<CustomerId, Account>,
     /// What waits: for answers of the counter, for ends of upstream tries, for a time.
@@ -73,6 +77,7 @@
             started: now,
             servers: BTreeMap::new(),
             ids: Vec::new(),
+            own: Vec::new(),
             calls: BTreeMap::new(),
             accounts: BTreeMap::new(),
             counts: BTreeMap::new(),
@@ -80,7 +85,7 @@
             due: BTreeMap::new(),
             next_id: 0,
             bears: Bears { quick_to: f64::INFINITY, thin: THIN, filled: now, ..Bears::default() },
-            fleet: Fleet { further: 3.0, room: f64::INFINITY, ..Fleet::default() },
+            fleet: Fleet { further: 3.0, room: f64::INFINITY, pace: f64::INFINITY, ..Fleet::default() },
             usual: BTreeMap::new(),
             kinds: BTreeMap::new(),
         };
@@ -128,6 +133,22 @@
             self.servers.insert(id, server);
         }
         self.ids = self.servers.keys().cloned().collect();
+        self.ids.sort_by_key(|id| subset::place(&id.0));
+        self.choose();
+    }
+
+    /// The servers that this gateway uses: all that it can keep connections to warm and learn of, or a part.
+    /// Harm: what befalls many servers of one gateway's part befalls it more; the others are then drawn too.
+    fn choose(&mut self) {
+        let (idle, open) = (self.facts.number("limits.idle_close"), self.fleet.open);
+        let each = (self.fleet.room / self.own.len().max(1) as f64).min(ROOM);
+        let width = subset::Width { tries: self.fleet.pace, idle, open, each }.of(self.ids.len());
+        let width = if idle > 0.0 { width } else { self.ids.len() };
+        let (index, all) = (self.facts.number("index") as u32, self.gateways() as u32);
+        let window = subset::window(self.ids.len(), index, all, width);
+        self.own = window.map(|place| self.ids[place].clone()).collect();
+        let warm = self.own.iter().filter(|id| self.warmth(&self.servers[*id]) >= 1.0).count();
+        self.fleet.warm = warm as f64;
     }
 
     /// A call for the server list failed or the subscription broke: it is asked for again.
@@ -208,8 +229,9 @@
             self.port.wake(TICK_TOKEN, now + TICK);
             self.renew();
             if now.subsec_millis() < 50 {
-                let warm = self.servers.values().filter(|server| self.warmth(server) >= 1.0).count();
-                self.fleet.warm = warm as f64;
+                let (sends, pace) = (std::mem::take(&mut self.fleet.sends), self.fleet.pace);
+                self.fleet.pace = if pace.is_finite() { pace + (sends - pace) * 0.1 } else { sends };
+                self.choose();
                 self.accounts.retain(|_, known| !known.holds.is_empty() || now < known.asked + FORGET);
             }
         }
@@ -278,6 +300,13 @@
         most
     }
 
+    /// The share of a customer's API calls that its rate bears, where its even split is less than a call and the
+    /// totals told how much all gateways are asked for it.
+    fn share(&self, customer: &CustomerId, rate: f64) -> Option<f64> {
+        let account = self.accounts.get(customer).filter(|_| self.bears.thin >= THIN)?;
+        account.sight.share(self.now, rate)
+    }
+
     fn cheap(&self, arrival: &Arrival, calls: f64) -> f64 {
         1.0 - self.value(arrival) * calls / self.bears.value.max(1e-9)
     }
@@ -316,7 +345,8 @@
         self.next_id += 1;
         let id = self.next_id;
         // Calls being scarce, a cap that was not stated goes uncounted: the units' name tells enough.
-        let unasked = rate > 0.0 && !stated && !self.skipping() && !self.may_call(SPARE);
+        let unasked =
+            rate > 0.0 && (!stated || self.bears.thin >= THIN) && !self.skipping() && !self.may_call(SPARE);
         let silent = unasked || !self.may_call(cheap);
         let told = move |c: &mut Control, counted| {
             let now = c.stretch(&owner, PERIOD, c.now).0;
@@ -402,6 +432,16 @@
         let (rate, burst, window) = self.terms(&plan);
         let recent = self.accounts.get(&customer).map_or(0.0, |account| account.demand);
         let cheap = self.cheap(arrival, (recent * window * AHEAD / units).max(1.0));
+        // What is not known is worth a call, what was looked at of late is worth none.
+        let fresh = self.accounts.get(&customer).and_then(|account| account.sight.age(self.now));
+        let cheap = match fresh.filter(|_| self.bears.thin >= THIN) {
+            Some(age) => 1.0 - age.as_secs_f64() / LOOK.as_secs_f64(),
+            None if self.bears.thin >= THIN => 0.0,
+            None => cheap,
+        };
+        let known = self.share(&customer, rate);
+        let drawn = if known.is_some() { self.rng.generate::<f64>() } else { 0.0 };
+        let telling = !self.skipping();
         let (now, scarce, silent) = (self.now, !self.may_call(SPARE), !self.may_call(cheap));
         // Never to be passed: such a customer's share starts empty and no calm one passes beyond it.
         let hard = self.facts.plan(&plan, "ceiling_rate") > 0.0;
@@ -420,7 +460,11 @@
         if silent || (enough && scarce) {
             // A split over many gateways may be under a unit: who was calm before this call passes.
             let before = (account.demand - units / window) * account.spread;
-            let enough = enough || (!hard && before < rate * CALM);
+            let enough = match known {
+                Some(share) => drawn < share && (!hard || enough),
+                None => enough || (!hard && before < rate * CALM),
+            };
+            account.sight.untold += if telling { units } else { 0.0 };
             self.calls.get_mut(call).expect("looked up above").unsure = true;
             self.bears.unsaid += if enough { units } else { 0.0 };
             return next(self, enough);
@@ -444,7 +488,7 @@
         let length = Duration::from_secs_f64(window);
         let (window, start) = self.stretch(customer, length, self.now);
         let (this, keep) = (CounterName(fixed_hash(&customer.0, 2, window)), length * 3);
-        let owner = customer.clone();
+        let (owner, plan) = (customer.clone(), plan.clone());
         let account = self.accounts.entry(customer.clone()).or_default();
         let known = account.window > 0;
         if account.window != window {
@@ -461,27 +505,43 @@
         // Calls being scarce, an add also stands for what this gateway sent without one.
         let bears = &mut self.bears;
         let share = (bears.unsaid / bears.said.max(1.0)).min(10.0);
+        let thin = bears.thin >= THIN;
         let extra = if plenty { 0.0 } else { (size * share).round() };
+        let extra = if thin { std::mem::take(&mut account.sight.untold).round() } else { extra };
         (bears.said, bears.unsaid) = (bears.said * 0.95 + size, bears.unsaid * 0.95);
         let told = move |c: &mut Control, counted: Counted| {
             let (now, thin, plenty) = (c.now, c.bears.thin >= THIN, c.may_call(SPARE));
+            let hard = c.facts.plan(&plan, "ceiling_rate") > 0.0;
+            let drawn = if thin { c.rng.generate::<f64>() } else { 0.0 };
             let account = c.accounts.entry(owner.clone()).or_default();
             let (mut more, mut back) = (true, 0.0);
             if let Some(total) = counted.total_or(account.total + size + extra) {
+                account.sight.met(now, total - size, now.saturating_sub(start).as_secs_f64());
                 account.follow(total - size - extra, now, rate, burst);
                 let fits = account.store.floor().clamp(0.0, size);
                 more = account.block + fits >= units;
-                let fits = if more { fits } else { 0.0 };
-                back = if plenty { size - fits } else { 0.0 };
+                // On a thin slice the totals tell what all are asked for: the share that fits is let by, by chance,
+                // and nothing where even that is more than the store can have held.
+                let elapsed = now.saturating_sub(start).as_secs_f64();
+                let known = account.sight.share(now, rate).filter(|_| thin && !hard);
+                let held = burst * account.sight.fullness(rate) + rate * elapsed;
+                let spent = known.map_or(!more, |share| total * share > held);
+                more = known.map_or(more, |share| !spent && drawn < share);
+                let fits = if !more { 0.0 } else { known.map_or(fits, |_| size) };
+                // What is refused stays in the totals here: they tell what is asked for.
+                back = if plenty && !thin { size - fits } else { 0.0 };
                 account.block += fits;
                 account.store -= fits;
                 account.total = total - back;
-                if !more {
+                if spent {
                     let short = (units - account.block - account.store) / rate;
                     let wait = Duration::from_secs_f64(short.clamp(0.01, length.as_secs_f64() * 0.5));
                     account.refused_until = if plenty || !thin { now + wait } else { start + length };
                 }
             }
+            if thin && counted == Counted::NotAdded {
+                account.sight.untold += extra;
+            }
             if back > 0.0 {
                 c.add(this, -back, keep, Box::new(|_, _| ()));
             }
@@ -513,7 +573,7 @@
             let budget = usual * warmth * self.facts.number("rules.fall_multiple") * COLD_SHARE;
             server.sent.iter().filter(|at| **at + over > self.now).count() as f64 >= budget.max(1.0)
         };
-        let fair = self.fleet.room / self.servers.len().max(1) as f64;
+        let fair = self.fleet.room / self.own.len().max(1) as f64;
         (warmth >= 1.0 || !spent()) && f64::from(server.open) < (fair * warmth).max(1.0)
     }
 
@@ -547,12 +607,13 @@
         last: Option<&ServerId>,
     ) -> Option<ServerId> {
         let (some, fits) =
-            (!self.ids.is_empty(), |id: &&ServerId| Some(*id) != last && able(&self.servers[*id]));
-        let drawn = (0..DRAWS).filter(|_| some).map(|_| &self.ids[rng.generate_range(0..self.ids.len())]);
+            (!self.own.is_empty(), |id: &&ServerId| Some(*id) != last && able(&self.servers[*id]));
+        let drawn = (0..DRAWS).filter(|_| some).map(|_| &self.own[rng.generate_range(0..self.own.len())]);
         let mut found: Vec<&ServerId> = drawn.filter(fits).collect();
         found.dedup();
         if found.len() < 2 {
-            found = self.ids.iter().filter(fits).collect();
+            found = self.own.iter().filter(fits).collect();
+            found = if found.is_empty() { self.ids.iter().filter(fits).collect() } else { found };
             rng.shuffle(&mut found);
         }
         found.truncate(2);
@@ -596,6 +657,7 @@
         let server = self.servers.get_mut(&at).expect("chosen from the list");
         self.rng = rng;
         (server.open, self.fleet.open) = (server.open + 1, self.fleet.open + 1.0);
+        self.fleet.sends += 1.0;
         server.sent.push_back(now);
         server.sent.drain(..server.sent.len().saturating_sub(64));
         let asked = self.calls.get_mut(&call).expect("looked up above");
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,6 +5,7 @@
 use crate::port::*;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
+use wellcrank_fleet::sight::Sight;
 
 pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -97,8 +98,11 @@
     pub further: f64,
     /// Answers a second from warm servers, fading over ten seconds, and when it was last faded.
     pub done: (f64, Duration),
-    /// How many servers are warm.
+    /// How many of the servers in use are warm.
     pub warm: f64,
+    /// Tries sent since the last second began, and how many a second of late.
+    pub sends: f64,
+    pub pace: f64,
 }
 
 /// Units that refill with time.
@@ -138,6 +142,8 @@
     pub asked: Duration,
     pub waiting: Vec<Next<bool>>,
     pub refused_until: Duration,
+    /// What all gateways together are asked for it, as the totals show it.
+    pub sight: Sight,
     /// The even split, while it is used in silence.
     pub share: Option<Purse>,
     /// What a hard ceiling leaves to this gateway.
