--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -1,6 +1,4 @@
-//! What a gateway of hundreds needs to decide well: which servers are its own to use ([`subset`]), and what it knows
-//! of customers that it seldom sees ([`sight`]). No I/O, no clock, no chance: all is handed in.
-//! Spans are `Duration`s, rates are a second.
+//! What a gateway of hundreds needs to decide well: which servers are its own to use ([`subset`]). No I/O, no clock,
+//! no chance: all is handed in. Spans are in seconds, rates are a second.
 
-pub mod sight;
 pub mod subset;
--- a/src/control.rs
+++ b/src/control.rs
@@ -23,7 +23,6 @@
 const PROMPT: f64 = 0.7; // an answer within this share of the counter's time limit is prompt
 const ERRORS: u32 = 3; // so many in a row, each after a slowing, are an outage
 const SPARE: f64 = 0.7; // with this share of the calls in hand, what can be done without is done
-const LOOK: Duration = ms(10_000); // so long after a look at a customer another one is worth a call
 const AHEAD: f64 = 0.5; // of a window: a block's recent demand while calls are scarce
 const ADVICE: Duration = ms(5000); // per call ahead
 const LONGEST_ADVICE: Duration = ms(30_000);
@@ -300,13 +299,6 @@
         most
     }
 
-    /// The share of a customer's API calls that its rate bears, where its even split is less than a call and the
-    /// totals told how much all gateways are asked for it.
-    fn share(&self, customer: &CustomerId, rate: f64) -> Option<f64> {
-        let account = self.accounts.get(customer).filter(|_| self.bears.thin >= THIN)?;
-        account.sight.share(self.now, rate)
-    }
-
     fn cheap(&self, arrival: &Arrival, calls: f64) -> f64 {
         1.0 - self.value(arrival) * calls / self.bears.value.max(1e-9)
     }
@@ -345,8 +337,7 @@
         self.next_id += 1;
         let id = self.next_id;
         // Calls being scarce, a cap that was not stated goes uncounted: the units' name tells enough.
-        let unasked =
-            rate > 0.0 && (!stated || self.bears.thin >= THIN) && !self.skipping() && !self.may_call(SPARE);
+        let unasked = rate > 0.0 && !stated && !self.skipping() && !self.may_call(SPARE);
         let silent = unasked || !self.may_call(cheap);
         let told = move |c: &mut Control, counted| {
             let now = c.stretch(&owner, PERIOD, c.now).0;
@@ -432,16 +423,6 @@
         let (rate, burst, window) = self.terms(&plan);
         let recent = self.accounts.get(&customer).map_or(0.0, |account| account.demand);
         let cheap = self.cheap(arrival, (recent * window * AHEAD / units).max(1.0));
-        // What is not known is worth a call, what was looked at of late is worth none.
-        let fresh = self.accounts.get(&customer).and_then(|account| account.sight.age(self.now));
-        let cheap = match fresh.filter(|_| self.bears.thin >= THIN) {
-            Some(age) => 1.0 - age.as_secs_f64() / LOOK.as_secs_f64(),
-            None if self.bears.thin >= THIN => 0.0,
-            None => cheap,
-        };
-        let known = self.share(&customer, rate);
-        let drawn = if known.is_some() { self.rng.generate::<f64>() } else { 0.0 };
-        let telling = !self.skipping();
         let (now, scarce, silent) = (self.now, !self.may_call(SPARE), !self.may_call(cheap));
         // Never to be passed: such a customer's share starts empty and no calm one passes beyond it.
         let hard = self.facts.plan(&plan, "ceiling_rate") > 0.0;
@@ -460,11 +441,7 @@
         if silent || (enough && scarce) {
             // A split over many gateways may be under a unit: who was calm before this call passes.
             let before = (account.demand - units / window) * account.spread;
-            let enough = match known {
-                Some(share) => drawn < share && (!hard || enough),
-                None => enough || (!hard && before < rate * CALM),
-            };
-            account.sight.untold += if telling { units } else { 0.0 };
+            let enough = enough || (!hard && before < rate * CALM);
             self.calls.get_mut(call).expect("looked up above").unsure = true;
             self.bears.unsaid += if enough { units } else { 0.0 };
             return next(self, enough);
@@ -488,7 +465,7 @@
         let length = Duration::from_secs_f64(window);
         let (window, start) = self.stretch(customer, length, self.now);
         let (this, keep) = (CounterName(fixed_hash(&customer.0, 2, window)), length * 3);
-        let (owner, plan) = (customer.clone(), plan.clone());
+        let owner = customer.clone();
         let account = self.accounts.entry(customer.clone()).or_default();
         let known = account.window > 0;
         if account.window != window {
@@ -505,43 +482,27 @@
         // Calls being scarce, an add also stands for what this gateway sent without one.
         let bears = &mut self.bears;
         let share = (bears.unsaid / bears.said.max(1.0)).min(10.0);
-        let thin = bears.thin >= THIN;
         let extra = if plenty { 0.0 } else { (size * share).round() };
-        let extra = if thin { std::mem::take(&mut account.sight.untold).round() } else { extra };
         (bears.said, bears.unsaid) = (bears.said * 0.95 + size, bears.unsaid * 0.95);
         let told = move |c: &mut Control, counted: Counted| {
             let (now, thin, plenty) = (c.now, c.bears.thin >= THIN, c.may_call(SPARE));
-            let hard = c.facts.plan(&plan, "ceiling_rate") > 0.0;
-            let drawn = if thin { c.rng.generate::<f64>() } else { 0.0 };
             let account = c.accounts.entry(owner.clone()).or_default();
             let (mut more, mut back) = (true, 0.0);
             if let Some(total) = counted.total_or(account.total + size + extra) {
-                account.sight.met(now, total - size, now.saturating_sub(start).as_secs_f64());
                 account.follow(total - size - extra, now, rate, burst);
                 let fits = account.store.floor().clamp(0.0, size);
                 more = account.block + fits >= units;
-                // On a thin slice the totals tell what all are asked for: the share that fits is let by, by chance,
-                // and nothing where even that is more than the store can have held.
-                let elapsed = now.saturating_sub(start).as_secs_f64();
-                let known = account.sight.share(now, rate).filter(|_| thin && !hard);
-                let held = burst * account.sight.fullness(rate) + rate * elapsed;
-                let spent = known.map_or(!more, |share| total * share > held);
-                more = known.map_or(more, |share| !spent && drawn < share);
-                let fits = if !more { 0.0 } else { known.map_or(fits, |_| size) };
-                // What is refused stays in the totals here: they tell what is asked for.
-                back = if plenty && !thin { size - fits } else { 0.0 };
+                let fits = if more { fits } else { 0.0 };
+                back = if plenty { size - fits } else { 0.0 };
                 account.block += fits;
                 account.store -= fits;
                 account.total = total - back;
-                if spent {
+                if !more {
                     let short = (units - account.block - account.store) / rate;
                     let wait = Duration::from_secs_f64(short.clamp(0.01, length.as_secs_f64() * 0.5));
                     account.refused_until = if plenty || !thin { now + wait } else { start + length };
                 }
             }
-            if thin && counted == Counted::NotAdded {
-                account.sight.untold += extra;
-            }
             if back > 0.0 {
                 c.add(this, -back, keep, Box::new(|_, _| ()));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,7 +5,6 @@
 use crate::port::*;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
-use wellcrank_fleet::sight::Sight;
 
 pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -142,8 +141,6 @@
     pub asked: Duration,
     pub waiting: Vec<Next<bool>>,
     pub refused_until: Duration,
-    /// What all gateways together are asked for it, as the totals show it.
-    pub sight: Sight,
     /// The even split, while it is used in silence.
     pub share: Option<Purse>,
     /// What a hard ceiling leaves to this gateway.
