--- a/lab/src/loopback/clients.rs
+++ b/lab/src/loopback/clients.rs
@@ -183,14 +183,8 @@
         }
     }
 
-    pub(super) fn client_ready(&mut self, key: usize, read: bool, write: bool) -> Result<(), String> {
-        if write {
-            self.written.push(key);
-        }
+    pub(super) fn client_ready(&mut self, key: usize) -> Result<(), String> {
         let Some(Place::Client(client)) = self.places.get_mut(key) else { return Ok(()) };
-        if !read {
-            return Ok(());
-        }
         let open = client.wire.read();
         let mut took = 0;
         let mut heard = Vec::new();
--- a/lab/src/loopback/counter.rs
+++ b/lab/src/loopback/counter.rs
@@ -43,14 +43,8 @@
 }
 
 impl Stage {
-    pub(super) fn counter_ready(&mut self, key: usize, read_it: bool, write: bool) -> Result<(), String> {
-        if write {
-            self.written.push(key);
-        }
+    pub(super) fn counter_ready(&mut self, key: usize) -> Result<(), String> {
         let Some(Place::Counter(line)) = self.places.get_mut(key) else { return Ok(()) };
-        if !read_it {
-            return Ok(());
-        }
         let (open, gateway) = (line.wire.read(), line.gateway);
         let end = line.wire.input.iter().rposition(|byte| *byte == b'\n').map_or(0, |end| end + 1);
         let whole: Vec<u8> = line.wire.input.drain(..end).collect();
--- a/lab/src/loopback/discovery.rs
+++ b/lab/src/loopback/discovery.rs
@@ -54,14 +54,8 @@
 }
 
 impl Stage {
-    pub(super) fn discovery_ready(&mut self, key: usize, read: bool, write: bool) -> Result<(), String> {
-        if write {
-            self.written.push(key);
-        }
+    pub(super) fn discovery_ready(&mut self, key: usize) -> Result<(), String> {
         let Some(Place::Discovery(watcher)) = self.places.get_mut(key) else { return Ok(()) };
-        if !read {
-            return Ok(());
-        }
         let open = watcher.wire.read();
         loop {
             let Some(Place::Discovery(watcher)) = self.places.get_mut(key) else { return Ok(()) };
--- a/lab/src/loopback/mod.rs
+++ b/lab/src/loopback/mod.rs
@@ -435,24 +435,31 @@
 
     fn ready(&mut self, key: usize, read: bool, write: bool) -> Result<(), String> {
         match self.places.get(key) {
-            None => Ok(()),
+            None => return Ok(()),
             Some(Place::Signals) => {
                 if let Some(signals) = &mut self.signals {
                     self.stop |= signals.pending().next().is_some();
                 }
-                Ok(())
+                return Ok(());
             }
             Some(Place::ServerDoor { .. } | Place::CounterDoor { .. } | Place::DiscoveryDoor { .. }) => {
-                self.accept(key)
+                return self.accept(key);
             }
             Some(Place::Peer { .. }) => {
                 self.datagrams(key);
-                Ok(())
+                return Ok(());
             }
-            Some(Place::Client(_)) => self.client_ready(key, read, write),
-            Some(Place::Upstream(_)) => self.upstream_ready(key, read, write),
-            Some(Place::Counter(_)) => self.counter_ready(key, read, write),
-            Some(Place::Discovery(_)) => self.discovery_ready(key, read, write),
+            Some(_) => (),
+        }
+        if write {
+            self.written.push(key);
+        }
+        match self.places.get(key).filter(|_| read) {
+            Some(Place::Client(_)) => self.client_ready(key),
+            Some(Place::Upstream(_)) => self.upstream_ready(key),
+            Some(Place::Counter(_)) => self.counter_ready(key),
+            Some(Place::Discovery(_)) => self.discovery_ready(key),
+            _ => Ok(()),
         }
     }
 
--- a/lab/src/loopback/servers.rs
+++ b/lab/src/loopback/servers.rs
@@ -106,14 +106,8 @@
         keys.into_iter().try_for_each(|key| self.close(key))
     }
 
-    pub(super) fn upstream_ready(&mut self, key: usize, read: bool, write: bool) -> Result<(), String> {
-        if write {
-            self.written.push(key);
-        }
+    pub(super) fn upstream_ready(&mut self, key: usize) -> Result<(), String> {
         let Some(Place::Upstream(it)) = self.places.get_mut(key) else { return Ok(()) };
-        if !read {
-            return Ok(());
-        }
         let open = it.wire.read();
         it.used = self.now;
         let (gateway, server) = (it.gateway, it.server);
--- a/lab/src/simulated.rs
+++ b/lab/src/simulated.rs
@@ -205,8 +205,15 @@
                     self.event(event)?;
                 }
             }
-            for (gateway, deed) in self.minds.deeds()? {
-                self.deed(gateway, deed)?;
+            // What is done may have something happen at this very moment, to which more is done.
+            loop {
+                let deeds = self.minds.deeds()?;
+                if deeds.is_empty() {
+                    break;
+                }
+                for (gateway, deed) in deeds {
+                    self.deed(gateway, deed)?;
+                }
             }
         }
         self.now = end;
--- a/lab/src/world/troubles.rs
+++ b/lab/src/world/troubles.rs
@@ -183,14 +183,19 @@
         }
     }
 
+    /// The further steps of a trouble, spread over its time.
+    fn steps(&mut self, now: Duration, place: usize, lasts: f64, count: usize) {
+        let each = secs(lasts / count.max(1) as f64);
+        for later in 1..count {
+            self.agenda.at(now + each * later as u32, Due::Trouble { place, step: later });
+        }
+    }
+
     /// Servers are replaced one after another, each by a new one that starts cold.
     fn replace(&mut self, now: Duration, place: usize, step: usize, it: &Trouble, acts: &mut Vec<Act>) {
         if step == 0 {
             let servers = self.some_servers(it.share);
-            let each = secs(it.lasts / servers.len().max(1) as f64);
-            for later in 1..servers.len() {
-                self.agenda.at(now + each * later as u32, Due::Trouble { place, step: later });
-            }
+            self.steps(now, place, it.lasts, servers.len());
             self.taken_servers.insert(place, servers);
         }
         let Some(old) = self.taken_servers[&place].get(step).copied() else { return };
@@ -211,10 +216,7 @@
     fn restart(&mut self, now: Duration, place: usize, step: usize, it: &Trouble, acts: &mut Vec<Act>) {
         if step == 0 {
             let gateways = self.some_gateways(it.share);
-            let each = secs(it.lasts / gateways.len().max(1) as f64);
-            for later in 1..gateways.len() {
-                self.agenda.at(now + each * later as u32, Due::Trouble { place, step: later });
-            }
+            self.steps(now, place, it.lasts, gateways.len());
             let gateways = gateways.into_iter().map(|gateway| ServerNo(gateway as u32)).collect();
             self.taken_servers.insert(place, gateways);
         }
