One piece for what both engines did twice; dead fields and scans each turn go

Gateways that restart were kept as server numbers. On loopback every connection was looked through at each turn for idle ones, watches and bad clients; that hangs on the look each 100 ms, which the loop's sleep made it already when nothing else came. The ring's keys are hashed once a server.

--- a/lab/src/agree.rs
+++ b/lab/src/agree.rs
@@ -4,8 +4,8 @@
 use crate::experiment::{Engine, Experiment};
 use crate::measure::Results;
 use crate::runs::{self, Ways};
+use crate::stats;
 use serde::{Deserialize, Serialize};
-use statrs::distribution::{ContinuousCDF, StudentsT};
 
 /// One change on one kind of day.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -32,21 +32,14 @@
 /// The model's differences by seed.
 fn differences(results: &[Results], base: &str, other: &str, figure: &str) -> Vec<f64> {
     let value = |it: &Results| it.figures().iter().find(|(name, _)| *name == figure).map_or(0.0, |it| it.1);
-    let sound = || results.iter().filter(|it| !it.lateness.spoilt);
-    let pairs = sound().filter(|one| one.variant == base).filter_map(|one| {
-        let two = sound().find(|two| two.variant == other && two.seed == one.seed)?;
-        Some(value(two) - value(one))
-    });
-    pairs.collect()
+    let all: Vec<&Results> = results.iter().collect();
+    let pairs = stats::pairs(&all, base, other).into_iter().filter(stats::in_time);
+    pairs.map(|(one, two)| value(two) - value(one)).collect()
 }
 
 /// Where a mean over `count` seeds should fall, from the model's differences: half the width of 95%.
 pub fn reach(differences: &[f64], count: usize) -> f64 {
-    let (n, k) = (differences.len() as f64, count.max(1) as f64);
-    let mean = differences.iter().sum::<f64>() / n;
-    let spread = differences.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / (n - 1.0);
-    let t = StudentsT::new(0.0, 1.0, n - 1.0).map_or(f64::INFINITY, |it| it.inverse_cdf(0.975));
-    t * (spread * (1.0 / n + 1.0 / k)).sqrt()
+    stats::half_width(differences, 1.0 / differences.len() as f64 + 1.0 / count.max(1) as f64)
 }
 
 /// Plays every variant of an experiment against its first in both engines. `model_seeds` in simulated time,
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -696,6 +696,11 @@
         wrongs
     }
 
+    /// The longest that a client waits, in seconds.
+    pub fn longest_wait(&self) -> f64 {
+        self.routes.iter().map(|route| route.client_timeout).fold(0.0, f64::max)
+    }
+
     /// The number of a route or plan by its name.
     pub fn route(&self, name: &str) -> Option<usize> {
         self.routes.iter().position(|it| it.name == name)
--- a/lab/src/loopback/clients.rs
+++ b/lab/src/loopback/clients.rs
@@ -287,10 +287,8 @@
         client.wire.close(&self.registry);
         for sent in client.open {
             self.asking.remove(&sent.ask);
-            if self.world.state(gateway) == GatewayState::Down {
-                self.world.not_taken(now, sent.ask);
-            } else if !sent.taken {
-                // The gateway took no such connection.
+            if !sent.taken || self.world.state(gateway) == GatewayState::Down {
+                // The gateway took no such connection, or its process has gone.
                 self.world.not_taken(now, sent.ask);
             } else if used && !partly && !self.world.asks[sent.ask.0 as usize].over {
                 // The gateway closed it between two calls, as it may; this one crossed that.
--- a/lab/src/loopback/mod.rs
+++ b/lab/src/loopback/mod.rs
@@ -179,24 +179,15 @@
     };
     stage.set_up(changed.fleet.gateways)?;
     stage.run(terms.watch.as_deref_mut())?;
-    let mut results = stage.world.measure.results();
-    results.experiment = experiment.title.clone();
-    results.variant = variant.name.clone();
-    results.engine = "loopback".into();
-    (results.seed, results.gateways, results.servers) = (seed, changed.fleet.gateways, changed.fleet.servers);
+    let mut results = stage.world.results("loopback", &experiment.title, &variant.name, seed);
     results.seconds = stage.now.min(stage.world.length()).as_secs_f64();
     results.by_second.truncate(results.seconds.ceil() as usize);
-    results.broken = std::mem::take(&mut stage.world.referee.broken);
-    results.broken_count = stage.world.referee.count;
     results.bad_clients = stage.bad;
     results.crashes = std::mem::take(&mut stage.crashes);
     results.took = stage.now.as_secs_f64();
     results.gateway_cpu = stage.gateways.iter().map(|it| it.process.cpu).sum();
     let most = stage.gateways.iter().map(|it| it.process.resident).max().unwrap_or(0);
     results.gateway_mb = most as f64 / f64::from(1 << 20);
-    let named = |at: &u32| stage.world.servers[*at as usize].uid.clone();
-    results.server_load =
-        stage.world.measure.busy.iter().map(|(at, load)| (named(at), load.clone())).collect();
     if let Some(recorder) = stage.recorder.take() {
         recorder.finish().map_err(said)?;
     }
@@ -318,7 +309,6 @@
     fn run(&mut self, mut watch: Option<&mut Watch>) -> Result<(), String> {
         let mut events = Events::with_capacity(1024);
         let (mut second, mut next_look) = (0, Duration::ZERO);
-        let give_up = GET_READY;
         while !self.stop {
             self.now = self.clock.now();
             if !self.begun {
@@ -328,9 +318,9 @@
                     self.clock = Clock::start();
                     (self.now, self.begun, next_look) = (Duration::ZERO, true, Duration::ZERO);
                     self.rebase();
-                } else if self.now > give_up {
+                } else if self.now > GET_READY {
                     return Err(format!(
-                        "the gateways were not ready within {give_up:?}: {:?}",
+                        "the gateways were not ready within {GET_READY:?}: {:?}",
                         self.crashes
                     ));
                 }
@@ -357,6 +347,7 @@
             self.due()?;
             if self.now >= next_look {
                 self.look();
+                self.sweep()?;
                 next_look = self.now + Duration::from_millis(100);
             }
             self.flush()?;
@@ -414,6 +405,11 @@
             self.close(key)?;
         }
         self.land();
+        Ok(())
+    }
+
+    /// What needs a look at every connection is done now and then, not at each turn.
+    fn sweep(&mut self) -> Result<(), String> {
         self.watches_over();
         self.close_idle()?;
         self.bad_over()
--- a/lab/src/loopback/servers.rs
+++ b/lab/src/loopback/servers.rs
@@ -52,11 +52,7 @@
         encoded(&OwnedFrame::Array(vec![bulk(value.clone()), figures, load]))
     };
     match says {
-        Says::Value { units, load } => {
-            let load =
-                load.map(|it| format!("inflight={},queue={},util={:.2}", it.inflight, it.queue, it.util));
-            good(units, load.unwrap_or_default())
-        }
+        Says::Value { units, load } => good(units, load.map(|load| load.to_string()).unwrap_or_default()),
         Says::Busy => b"-BUSY\r\n".to_vec(),
         Says::Failed => b"-ERR failed\r\n".to_vec(),
         Says::Spoilt(0) => b"\x07\x00\xffnoise\r\n".to_vec(),
@@ -179,10 +175,7 @@
     /// A probe: answered with the server's load where the settings allow that.
     fn probed(&mut self, key: usize, server: ServerNo) -> bool {
         let said = match self.world.probed(self.now, server) {
-            Some(load) => {
-                let text = format!("inflight={},queue={},util={:.2}", load.inflight, load.queue, load.util);
-                encoded(&bulk(text))
-            }
+            Some(load) => encoded(&bulk(load.to_string())),
             None => b"-NOPERM\r\n".to_vec(),
         };
         if let Some(Place::Upstream(it)) = self.places.get_mut(key) {
--- a/lab/src/simulated.rs
+++ b/lab/src/simulated.rs
@@ -14,7 +14,7 @@
 use crate::world::{Act, AskId, Change, CountId, Says, ServerNo, TryId, World};
 use nanorand::{Rng, WyRand};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::Duration;
 use wellcrank::port::*;
 
@@ -123,7 +123,7 @@
     seeds: WyRand,
     fault: Option<Fault>,
     answers: u64,
-    twice: BTreeMap<AskId, ()>,
+    twice: BTreeSet<AskId>,
 }
 
 /// Plays one day of an experiment, as a variant has it.
@@ -149,19 +149,10 @@
         seeds: WyRand::new_seed(seed ^ 0x5eed),
         fault: terms.fault,
         answers: 0,
-        twice: BTreeMap::new(),
+        twice: BTreeSet::new(),
     };
     day.play()?;
-    let mut results = day.world.measure.results();
-    results.experiment = experiment.title.clone();
-    results.variant = variant.name.clone();
-    results.engine = "simulated".into();
-    (results.seed, results.gateways, results.servers) = (seed, changed.fleet.gateways, changed.fleet.servers);
-    results.broken = std::mem::take(&mut day.world.referee.broken);
-    results.broken_count = day.world.referee.count;
-    let named = |place: &u32| day.world.servers[*place as usize].uid.clone();
-    results.server_load = day.world.measure.busy.iter().map(|(at, load)| (named(at), load.clone())).collect();
-    Ok(results)
+    Ok(day.world.results("simulated", &experiment.title, &variant.name, seed))
 }
 
 fn call_id(ask: AskId) -> CallId {
@@ -490,7 +481,7 @@
             Deed::Send(call, server, timeout) => {
                 let Some(ask) = ask_id(&call) else { return Ok(()) };
                 self.send(gateway, ask, &server, timeout)?;
-                if self.fault == Some(Fault::SendsTwice) && self.twice.insert(ask, ()).is_none() {
+                if self.fault == Some(Fault::SendsTwice) && self.twice.insert(ask) {
                     self.send(gateway, ask, &server, timeout)?;
                 }
             }
--- a/lab/src/stats.rs
+++ b/lab/src/stats.rs
@@ -18,9 +18,7 @@
         if values.len() < 2 {
             return Interval { mean, off: None };
         }
-        let spread = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / (count - 1.0);
-        let reach = StudentsT::new(0.0, 1.0, count - 1.0).map_or(f64::NAN, |it| it.inverse_cdf(0.975));
-        Interval { mean, off: Some(reach * (spread / count).sqrt()) }
+        Interval { mean, off: Some(half_width(values, 1.0 / count)) }
     }
 
     pub fn holds(&self, value: f64) -> bool {
@@ -28,6 +26,31 @@
     }
 }
 
+/// Half of the width of 95% by Student's t, where what is judged varies by `share` of the values' variance: a
+/// mean of n by 1/n, the difference of two such by the sum of both. Two values at least.
+pub fn half_width(values: &[f64], share: f64) -> f64 {
+    let count = values.len() as f64;
+    let mean = values.iter().sum::<f64>() / count;
+    let spread = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / (count - 1.0);
+    let reach = StudentsT::new(0.0, 1.0, count - 1.0).map_or(f64::NAN, |it| it.inverse_cdf(0.975));
+    reach * (spread * share).sqrt()
+}
+
+/// The runs of two variants, seed by seed.
+pub fn pairs<'a>(results: &[&'a Results], base: &str, other: &str) -> Vec<(&'a Results, &'a Results)> {
+    let ones = results.iter().filter(|it| it.variant == base);
+    let pair = |one: &&'a Results| {
+        let two = results.iter().find(|it| it.variant == other && it.seed == one.seed)?;
+        Some((*one, *two))
+    };
+    ones.filter_map(pair).collect()
+}
+
+/// Neither of a pair was spoilt by a laboratory that ran late.
+pub fn in_time(pair: &(&Results, &Results)) -> bool {
+    !pair.0.lateness.spoilt && !pair.1.lateness.spoilt
+}
+
 impl std::fmt::Display for Interval {
     fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
         match self.off {
@@ -61,7 +84,7 @@
 /// The variants in the order in which they stand in the results.
 pub fn variants(results: &[Results]) -> Vec<String> {
     let mut names: Vec<String> = Vec::new();
-    for it in results.iter().filter(|it| !names.contains(&it.variant)).collect::<Vec<_>>() {
+    for it in results {
         if !names.contains(&it.variant) {
             names.push(it.variant.clone());
         }
@@ -81,17 +104,10 @@
         let names = variants(results);
         let Some(base) = names.first() else { continue };
         for other in &names[1..] {
-            let mut late = 0;
-            let mut pairs = Vec::new();
-            for one in of.iter().filter(|it| it.variant == *base) {
-                let two = of.iter().find(|it| it.variant == *other && it.seed == one.seed);
-                let Some(two) = two else { continue };
-                if one.lateness.spoilt || two.lateness.spoilt {
-                    late += 1;
-                    continue;
-                }
-                pairs.push((one.figures(), two.figures()));
-            }
+            let found = pairs(&of, base, other);
+            let late = found.iter().filter(|pair| !in_time(pair)).count();
+            let pairs: Vec<(Figures, Figures)> =
+                found.into_iter().filter(in_time).map(|(one, two)| (one.figures(), two.figures())).collect();
             let count = pairs.first().map_or(0, |pair| pair.0.len());
             let rows = (0..count).map(|place| {
                 let column =
--- a/lab/src/told.rs
+++ b/lab/src/told.rs
@@ -38,14 +38,13 @@
         })
     });
     let plans: Vec<Value> = plans.collect();
-    let longest = experiment.routes.iter().map(|route| route.client_timeout).fold(0.0, f64::max);
     let mut settings = json!({
         "balancers": fleet.gateways, "index": gateway, "registry_mode": "automatic", "resolution_ns": 4_000_000,
         "my_zone": zone(experiment, gateway),
         "ceilings": {
             "cancelling": true, "connect_timeout_ns": nanos(fleet.connect_timeout),
             "idle_close_ns": nanos(fleet.idle_close), "max_attempts": fleet.max_tries, "max_open": 100_000,
-            "max_retry_after_ns": nanos(longest.max(30.0)), "may_duplicate": false,
+            "max_retry_after_ns": nanos(experiment.longest_wait().max(30.0)), "may_duplicate": false,
             "may_probe": fleet.probes, "multiplex": 1, "peers": experiment.network.peers, "retry_after": true,
         },
         "classes": routes,
--- a/lab/src/world/clients.rs
+++ b/lab/src/world/clients.rs
@@ -20,7 +20,6 @@
     /// What it may ask, and what was sent on for it: the truth that no gateway sees.
     pub entitled: Purse,
     pub sent: Purse,
-    pub ceiling: Purse,
     /// Upstream tries out at once.
     pub out: f64,
 }
@@ -46,12 +45,12 @@
 /// Surges and their like, as factors on arrivals.
 #[derive(Default)]
 pub struct Pressure {
-    /// Place of the trouble, plan if it is about one, from, to, factor, whether it grows up to that.
     pub surges: Vec<Surge>,
     pub patience: f64,
     pub heedless: f64,
 }
 
+/// More API calls of all plans, or of one, for a while; all at once, or growing up to the factor.
 pub struct Surge {
     pub plan: Option<usize>,
     pub from: Duration,
@@ -156,7 +155,6 @@
             heeds: rng.generate::<f64>() < terms.load.heeds,
             entitled: Purse::full(it.rate, it.burst),
             sent: Purse::full(it.rate, it.burst),
-            ceiling: Purse::full(it.ceiling_rate, it.ceiling_burst),
             out: 0.0,
         }
     }
--- a/lab/src/world/counter.rs
+++ b/lab/src/world/counter.rs
@@ -1,7 +1,6 @@
 //! The shared counter: parts split by name, a queue in each, and what may be wrong with it. Several may exist
 //! at once, each with counts of its own.
 
-use super::CountId;
 use rustc_hash::FxHashMap;
 use std::time::Duration;
 
@@ -110,12 +109,6 @@
     }
 }
 
-/// A call that waits for its turn or its answer.
-pub struct Open {
-    pub call: Call,
-    pub id: CountId,
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -10,7 +10,7 @@
 mod troubles;
 
 use crate::experiment::{Experiment, Group};
-use crate::measure::Measure;
+use crate::measure::{Measure, Results};
 use crate::record::Recorded;
 use crate::referee::{Referee, TryEnd, Verdict};
 use agenda::{Agenda, Due};
@@ -91,7 +91,6 @@
     /// When it was meant to be sent: latency counts from here.
     pub born: Duration,
     pub until: Duration,
-    pub left: bool,
     pub over: bool,
     pub sent_on: bool,
 }
@@ -103,7 +102,6 @@
     life: u32,
     ended: bool,
     says: Option<Says>,
-    report: Option<Report>,
 }
 
 /// One change of the server list.
@@ -165,6 +163,7 @@
     deaf: (Duration, f64),
     scan: Vec<(Duration, Duration, f64)>,
     taken_servers: BTreeMap<usize, Vec<ServerNo>>,
+    taken_gateways: BTreeMap<usize, Vec<usize>>,
     /// When tokens were first begun, by the group of servers that drops their repeats.
     tokens: BTreeMap<(u64, u64), Duration>,
     last_busy: Vec<f64>,
@@ -210,6 +209,7 @@
             deaf: (Duration::ZERO, 0.0),
             scan: Vec::new(),
             taken_servers: BTreeMap::new(),
+            taken_gateways: BTreeMap::new(),
             tokens: BTreeMap::new(),
             last_busy: Vec::new(),
             next_busy: 1,
@@ -290,8 +290,21 @@
 
     /// When all is over, the last answers included.
     pub fn end(&self) -> Duration {
-        let longest = self.terms.routes.iter().map(|route| route.client_timeout).fold(0.0, f64::max);
-        self.length + secs(longest) + self.slack + ms(200.0)
+        self.length + secs(self.terms.longest_wait()) + self.slack + ms(200.0)
+    }
+
+    /// What the day has brought, as both engines report it.
+    pub fn results(&mut self, engine: &str, title: &str, variant: &str, seed: u64) -> Results {
+        let mut results = self.measure.results();
+        (results.experiment, results.variant) = (title.into(), variant.into());
+        (results.engine, results.seed) = (engine.into(), seed);
+        let fleet = &self.terms.fleet;
+        (results.gateways, results.servers) = (fleet.gateways, fleet.servers);
+        results.broken = std::mem::take(&mut self.referee.broken);
+        results.broken_count = self.referee.count;
+        let named = |at: &u32| self.servers[*at as usize].uid.clone();
+        results.server_load = self.measure.busy.iter().map(|(at, load)| (named(at), load.clone())).collect();
+        results
     }
 
     pub fn length(&self) -> Duration {
@@ -447,15 +460,7 @@
         };
         let timeout = secs(self.terms.routes[route].client_timeout);
         let (until, ask) = (now + timeout, AskId(self.asks.len() as u32));
-        self.asks.push(Ask {
-            origin: id,
-            gateway,
-            born: now,
-            until,
-            left: false,
-            over: false,
-            sent_on: false,
-        });
+        self.asks.push(Ask { origin: id, gateway, born: now, until, over: false, sent_on: false });
         let patience = self.terms.load.patience * self.clients.pressure.patience;
         let patience = patience + (1.0 - patience) * self.chance.generate::<f64>();
         if patience < 1.0 {
@@ -504,7 +509,7 @@
         if it.over {
             return;
         }
-        (it.left, it.over) = (true, true);
+        it.over = true;
         let origin = it.origin;
         self.referee.left(ask);
         self.measure.at(now).unanswered += 1;
@@ -601,7 +606,7 @@
     ) -> TryId {
         let id = TryId(self.tries.len() as u32);
         let life = self.servers[server.0 as usize].life;
-        self.tries.push(Try { ask, server, gateway, life, ended: false, says: None, report: None });
+        self.tries.push(Try { ask, server, gateway, life, ended: false, says: None });
         self.measure.at(now).tries += 1;
         self.referee.came(now, id, ask, gateway, server);
         let it = &mut self.asks[ask.0 as usize];
@@ -732,7 +737,6 @@
             self.clients.accounts[account].sent.settle(now, units - asked);
             Says::Value { units: self.terms.load.settles.then_some(units), load: report }
         };
-        self.tries[of.0 as usize].report = report;
         self.will_say(now, of, says);
     }
 
--- a/lab/src/world/server.rs
+++ b/lab/src/world/server.rs
@@ -77,6 +77,13 @@
     pub util: f64,
 }
 
+/// As it stands on the wire.
+impl std::fmt::Display for Report {
+    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(out, "inflight={},queue={},util={:.2}", self.inflight, self.queue, self.util)
+    }
+}
+
 /// What becomes of a task that has come.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Taken {
--- a/lab/src/world/troubles.rs
+++ b/lab/src/world/troubles.rs
@@ -105,9 +105,7 @@
             TroubleKind::CounterSlow => self.counters[0].mode = Mode::Slow(it.factor),
             TroubleKind::CounterEmpty => self.counters[0].empty(),
             TroubleKind::CounterSplit | TroubleKind::CounterSwap => {
-                if it.kind == TroubleKind::CounterSplit || step == 0 {
-                    self.counters[1] = Counter::new(&self.counter_terms());
-                }
+                self.counters[1] = Counter::new(&self.counter_terms());
                 let share = if it.kind == TroubleKind::CounterSplit { it.share } else { 1.0 };
                 for gateway in self.some_gateways(share) {
                     self.gateways[gateway].counter = 1;
@@ -217,18 +215,16 @@
         if step == 0 {
             let gateways = self.some_gateways(it.share);
             self.steps(now, place, it.lasts, gateways.len());
-            let gateways = gateways.into_iter().map(|gateway| ServerNo(gateway as u32)).collect();
-            self.taken_servers.insert(place, gateways);
+            self.taken_gateways.insert(place, gateways);
         }
-        let Some(gateway) = self.taken_servers[&place].get(step).map(|it| it.0 as usize) else { return };
+        let Some(gateway) = self.taken_gateways[&place].get(step).copied() else { return };
         if self.gateways[gateway].state != GatewayState::Ready {
             return;
         }
         self.gateways[gateway].state = GatewayState::Stopping;
         self.gateways[gateway].since = now;
         acts.push(Act::Stop(gateway));
-        let longest = self.terms.routes.iter().map(|route| route.client_timeout).fold(0.0, f64::max);
-        let gone = now + secs(longest + 0.7);
+        let gone = now + secs(self.terms.longest_wait() + 0.7);
         self.agenda.at(gone, Due::Kill(gateway));
         self.agenda.at(gone + AGAIN, Due::Start(gateway));
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -132,7 +132,7 @@
             self.servers.insert(id, server);
         }
         self.ids = self.servers.keys().cloned().collect();
-        self.ids.sort_by_key(|id| subset::place(&id.0));
+        self.ids.sort_by_cached_key(|id| subset::place(&id.0));
         self.choose();
     }
 
