Discovery is asked for what changed since the known version; calls spread after a refusal

Lines at fault, edge/src/discovery.rs: connect() set rev to None, so every new connection, also right after a refusal, asked for the whole list although the node had one; and the wait after a failure was 0.25 s doubling to 4 s at every node alike, so nodes started together came again together.

Change: the version is kept across connections and taken from the known list at the start; only a node without a list, or whose discovery moved, asks for the whole one. After a failure the next call waits a draw from the whole doubling span (fleet/src/backoff.rs, no I/O, no clock, the draw handed in). ONLY=part plays only matching scenario files.

--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -4,10 +4,12 @@
 use crate::pipe::Pipe;
 use crate::turn::{Hub, Side};
 use mio::event::Event;
+use nanorand::{Rng, WyRand};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
 use wellcrank::port::*;
+use wellcrank_fleet::backoff::Backoff;
 
 /// A list or a change of it, as discovery words it.
 #[derive(Deserialize)]
@@ -39,6 +41,10 @@
 pub type Lines = Vec<(Listed, Option<SocketAddr>)>;
 
 impl News {
+    pub fn rev(&self) -> u64 {
+        self.rev
+    }
+
     pub fn is_empty(&self) -> bool {
         self.targets.is_empty()
     }
@@ -71,36 +77,42 @@
     pipe: Option<Pipe>,
     key: usize,
     wanted: bool,
-    /// The version that the last list or change had; none where the whole list is wanted.
+    /// The version of the last list or change that this gateway has, also across connections: a call then asks
+    /// for what changed since, which is small, in place of the whole list. None: the whole list is wanted.
     rev: Option<u64>,
     /// When the call that is out should be answered at the latest, or a new connection is due.
     patience: Duration,
     asking: bool,
     asked: Duration,
-    /// Calls in a row that went unanswered: each has the next one wait longer.
-    silent: u32,
+    /// Calls in a row that failed, by silence or by an answer that is no list: each has the next wait longer.
+    failures: u32,
+    silent: bool,
+    rng: WyRand,
 }
 
 impl Discovery {
-    pub fn new(at: SocketAddr) -> Discovery {
+    /// Follows the list at `at`, from the version `rev` that this gateway was told at its start, if any.
+    pub fn new(at: SocketAddr, rev: Option<u64>, seed: u64) -> Discovery {
         Discovery {
             at,
             host: at.to_string(),
             pipe: None,
             key: 0,
             wanted: false,
-            rev: None,
+            rev,
             patience: Duration::ZERO,
             asking: false,
             asked: Duration::ZERO,
-            silent: 0,
+            failures: 0,
+            silent: false,
+            rng: WyRand::new_seed(seed),
         }
     }
 
-    /// Discovery is elsewhere from now on: the list is followed there.
+    /// Discovery is elsewhere from now on: the list is followed there, whole at first, as its versions are its own.
     pub fn move_to(&mut self, hub: &mut Hub, at: SocketAddr) {
         if at != self.at {
-            (self.at, self.host, self.silent) = (at, at.to_string(), 0);
+            (self.at, self.host, self.failures, self.rev) = (at, at.to_string(), 0, None);
             self.drop_connection(hub);
             if self.wanted {
                 self.connect(hub);
@@ -118,7 +130,7 @@
 
     /// Asks for the whole list now, in place of the watch that is out.
     pub fn refetch(&mut self, hub: &mut Hub) {
-        self.wanted = true;
+        (self.wanted, self.rev) = (true, None);
         self.connect(hub);
     }
 
@@ -126,26 +138,36 @@
         self.drop_connection(hub);
         self.key += 1;
         self.pipe = Pipe::connect(hub, self.at, Side::Discovery, self.key).ok();
-        // What came while there was no watch is told by the whole list.
-        self.rev = None;
-        self.patience = hub.now + self.answer_time(hub);
+        if self.pipe.is_none() {
+            return self.failed(hub);
+        }
         self.ask(hub);
     }
 
-    /// How long an answer that need not wait may take: a connection's time, twice as long after each silence.
+    /// How long an answer that need not wait may take: a connection's time, twice as long after each failure.
     fn answer_time(&self, hub: &Hub) -> Duration {
-        hub.facts.span("limits.connect_timeout") * (1 << self.silent.min(4))
+        hub.facts.span("limits.connect_timeout") * (1 << self.failures.min(4))
     }
 
-    /// The connection is over. A new one is due soon, not only when a watch on the old one would have ended.
+    /// The connection is over; a new one is made at the next sweep.
     fn drop_connection(&mut self, hub: &mut Hub) {
         self.asking = false;
-        self.patience = self.patience.min(hub.now + self.answer_time(hub));
+        self.patience = self.patience.min(hub.now);
         if let Some(pipe) = self.pipe.take() {
             pipe.close(hub);
         }
     }
 
+    /// A call failed: the connection is given up, and the next call waits a draw of a span that doubles with each
+    /// failure in a row, so that gateways that fail together do not come again together.
+    fn failed(&mut self, hub: &mut Hub) {
+        self.drop_connection(hub);
+        self.failures = self.failures.saturating_add(1);
+        let first = hub.facts.span("limits.connect_timeout").max(Duration::from_millis(10));
+        let backoff = Backoff { first, most: first * 16 };
+        self.patience = hub.now + backoff.wait(self.failures, self.rng.generate::<f64>());
+    }
+
     fn ask(&mut self, hub: &mut Hub) {
         let Some(pipe) = &mut self.pipe else { return };
         let wait = watch(hub);
@@ -175,16 +197,18 @@
                 pipe.take(hub, took);
                 self.rev = Some(news.rev);
                 self.asking = false;
-                if self.silent > 0 {
-                    slog::info!(hub.log, "discovery answers again"; "after" => self.silent);
+                if self.failures > 0 {
+                    slog::info!(hub.log, "discovery answers again"; "after" => self.failures);
                 }
-                self.silent = 0;
+                (self.failures, self.silent) = (0, false);
                 Some(news)
             }
             Ok(None) => None,
             Err(why) => {
-                slog::warn!(hub.log, "discovery answers what is no list"; "why" => why);
-                self.drop_connection(hub);
+                if self.failures == 0 {
+                    slog::warn!(hub.log, "discovery answers what is no list"; "why" => why);
+                }
+                self.failed(hub);
                 return None;
             }
         };
@@ -202,22 +226,26 @@
     pub fn flush(&mut self, hub: &mut Hub, key: usize) {
         let Some(pipe) = self.pipe.as_mut().filter(|_| key == self.key) else { return };
         if pipe.flush(hub).is_err() {
-            self.drop_connection(hub);
+            self.failed(hub);
         }
     }
 
-    /// Periodic: a new connection where there is none, or where the old one is silent for too long.
+    /// Periodic: a new connection where there is none and one is due, or where the old one is silent for too long.
     pub fn sweep(&mut self, hub: &mut Hub) {
         if self.wanted && !self.asking && self.pipe.is_some() {
             return self.ask(hub);
         }
-        if self.wanted && hub.now >= self.patience {
-            if self.silent == 0 {
+        if !self.wanted || hub.now < self.patience {
+            return;
+        }
+        if self.asking {
+            if !self.silent {
                 slog::warn!(hub.log, "discovery is silent, connecting anew");
             }
-            self.silent += 1;
-            self.connect(hub);
+            self.silent = true;
+            return self.failed(hub);
         }
+        self.connect(hub);
     }
 }
 
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -79,7 +79,9 @@
         None => peers::Peers::default(),
     };
     let counter = counter::Counter::new(&mut hub, told.counter);
-    let seed = u64::from_str_radix(&told.seed, 16)?;
+    let seed =
+        u64::from_str_radix(&told.seed, 16).map_err(|error| format!("seed {:?}: {error}", told.seed))?;
+    let known = told.known.as_ref().filter(|known| !known.is_empty()).map(discovery::News::rev);
     let now = hub.now;
     let world = Rc::new(RefCell::new(world::World {
         hub,
@@ -87,7 +89,7 @@
         clients,
         pool: pool::Pool::default(),
         counter,
-        discovery: discovery::Discovery::new(told.discovery),
+        discovery: discovery::Discovery::new(told.discovery, known, seed ^ 0x5eed_d15c),
         peers,
         signals,
         stopping: None,
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -22,6 +22,8 @@
 //!                                 'counter cut' breaks its connections
 //! even                            in time, the holds counted in the newest period's name are all taken off again
 //! moved                           the file names another counter and discovery, SIGHUP, the old ones are cut off
+//! discovery away 4                its connections are cut, and the next four calls are turned away (503)
+//! asked 6 changes                 six calls have come to discovery, none of them for the whole list
 //! unreadable                      the file is none any more, SIGHUP
 //! stop; gone                      SIGTERM; the node has ended by itself and well
 //! times 20 STEPS                  the steps, parted by ';', so many times, with '%' the number of the time
@@ -132,13 +134,37 @@
     format!("{{\"rev\":{},\"all\":true,\"targets\":[{}]}}", list.0, entries.join(","))
 }
 
-fn discovery(list: List, open: Arc<Mutex<Vec<TcpStream>>>) -> (String, Arc<AtomicBool>) {
+/// What discovery was asked, and how many calls it is still to turn away as a crowded one does.
+#[derive(Default)]
+struct Asked {
+    heads: Vec<String>,
+    away: usize,
+}
+
+fn discovery(
+    list: List,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+    asked: Arc<Mutex<Asked>>,
+) -> (String, Arc<AtomicBool>) {
     let serve = move |socket: TcpStream| {
         open.lock().unwrap().push(socket.try_clone().unwrap());
         let mut out = socket.try_clone().unwrap();
         let mut input = BufReader::new(socket);
         while let Some(head) = line(&mut input) {
             while line(&mut input).is_some_and(|header| !header.is_empty()) {}
+            let away = {
+                let mut asked = asked.lock().unwrap();
+                asked.heads.push(head.clone());
+                let away = asked.away > 0;
+                asked.away -= usize::from(away);
+                away
+            };
+            if away {
+                let refusal =
+                    "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+                let _ = out.write_all(refusal.as_bytes());
+                break;
+            }
             let after = head.split_once("after=").and_then(|(_, rest)| rest.split('&').next()?.parse().ok());
             while after == Some(list.lock().unwrap().0) {
                 sleep(Duration::from_millis(5));
@@ -172,6 +198,7 @@
     counter: Arc<Mutex<Counter>>,
     /// Connections to discovery, and the listeners of discovery and counter as the file names them.
     watches: Arc<Mutex<Vec<TcpStream>>>,
+    asked: Arc<Mutex<Asked>>,
     named: Vec<(String, Arc<AtomicBool>)>,
     file: PathBuf,
     node: Option<Child>,
@@ -238,7 +265,10 @@
     /// Writes the configuration, with a counter and a discovery at addresses that it did not name before.
     fn write(&mut self) {
         let (memory, sockets) = self.limits.unwrap_or((192, 1024));
-        self.named = vec![discovery(self.list.clone(), self.watches.clone()), counter(self.counter.clone())];
+        self.named = vec![
+            discovery(self.list.clone(), self.watches.clone(), self.asked.clone()),
+            counter(self.counter.clone()),
+        ];
         let settings = include_str!("scenarios/settings.json");
         let config = format!(
             "{{\"name\":\"n0\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"7\",\"counter\":\"{}\",\
@@ -388,6 +418,19 @@
                 let counter = stage.counter.lock().unwrap();
                 counter.sums.last().is_some_and(|(_, sum)| *sum == 0.0).then_some(())
             }),
+            ["discovery", "away", count] => {
+                self.asked.lock().unwrap().away = count.parse().unwrap();
+                cut(&mut self.watches.lock().unwrap());
+            }
+            ["asked", count, "changes"] => {
+                let count: usize = count.parse().unwrap();
+                let heads = self.until(|stage| {
+                    let asked = stage.asked.lock().unwrap();
+                    (asked.heads.len() >= count).then(|| asked.heads.clone())
+                });
+                let whole: Vec<&String> = heads.iter().filter(|head| !head.contains("?after=")).collect();
+                assert!(whole.is_empty(), "the whole list was asked for: {whole:?}");
+            }
             ["moved"] => {
                 let old = std::mem::take(&mut self.named);
                 old.iter().for_each(|(_, on)| on.store(false, Ordering::SeqCst));
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -1,4 +1,6 @@
-//! What a gateway of hundreds needs to decide well: which servers are its own to use ([`subset`]). No I/O, no clock,
-//! no chance: all is handed in. Spans are in seconds, rates are a second.
+//! What a gateway of hundreds needs to decide well: which servers are its own to use ([`subset`]), and when to call
+//! a shared service again after a failure ([`backoff`]). No I/O, no clock, no chance: all is handed in. Spans are
+//! in seconds, rates are a second, unless a type says otherwise.
 
+pub mod backoff;
 pub mod subset;
--- a/tests/plays/mod.rs
+++ b/tests/plays/mod.rs
@@ -1,5 +1,5 @@
 //! Plays every file in `tests/scenarios` of a package, for both runners: steps, one a line; '#' begins a
-//! comment.
+//! comment. `ONLY=part` in the environment plays only the files whose path holds that part.
 
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::Path;
@@ -11,6 +11,9 @@
     let mut files: Vec<_> = folder.map(|file| file.unwrap().path()).collect();
     files.retain(|path| path.extension().is_some_and(|kind| kind == "txt"));
     files.sort();
+    if let Ok(only) = std::env::var("ONLY") {
+        files.retain(|path| path.to_string_lossy().contains(&only));
+    }
     assert!(!files.is_empty(), "no scenario found");
     let mut failed = Vec::new();
     for path in files {
