A fleet's calls to discovery after a refusal spread over a span that grows with the fleet

A watch that goes on is cheap, refused calls are not: a fleet coming again faster than discovery serves keeps it full. Line at fault: edge/src/discovery.rs failed(), first span 0.25 s at any fleet size.

Change: Backoff::shared (fleet/src/backoff.rs) widens the first span to the connection time-out times a fifth of the gateways (a quarter of the longest at most); the longest is twice the time within which the list is to be asked for. Up to five gateways nothing changes. Unit test of the spans.

--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -159,12 +159,15 @@
     }
 
     /// A call failed: the connection is given up, and the next call waits a draw of a span that doubles with each
-    /// failure in a row, so that gateways that fail together do not come again together.
+    /// failure in a row and begins wider in a larger fleet, so that gateways that fail together do not come again
+    /// together, nor so often that a crowded discovery never empties. The longest span is twice the time within which
+    /// the list is to be asked for, half what the rules allow after a failed call.
     fn failed(&mut self, hub: &mut Hub) {
         self.drop_connection(hub);
         self.failures = self.failures.saturating_add(1);
-        let first = hub.facts.span("limits.connect_timeout").max(Duration::from_millis(10));
-        let backoff = Backoff { first, most: first * 16 };
+        let base = hub.facts.span("limits.connect_timeout").max(Duration::from_millis(10));
+        let longest = (hub.facts.span("rules.ask_within") * 2).max(base * 16);
+        let backoff = Backoff::shared(base, hub.facts.number("gateways"), longest);
         self.patience = hub.now + backoff.wait(self.failures, self.rng.generate::<f64>());
     }
 
--- a/fleet/src/backoff.rs
+++ b/fleet/src/backoff.rs
@@ -13,7 +13,19 @@
     pub most: Duration,
 }
 
+/// So many gateways to a second of the first span: a fleet's calls after a failure that met all of them are spread
+/// over a span that grows with the fleet (a hundred gateways: five times the base).
+const GATEWAYS_A_BASE: f64 = 5.0;
+
 impl Backoff {
+    /// For a service that a whole fleet of `gateways` calls alike, with `base` as the least first span and `longest`
+    /// as the most: where calls that are turned away cost the service too, a fleet that comes again faster than it
+    /// serves keeps it full for good, and only a first span that grows with the fleet lets it empty.
+    pub fn shared(base: Duration, gateways: f64, longest: Duration) -> Backoff {
+        let first = base.mul_f64((gateways / GATEWAYS_A_BASE).clamp(1.0, 1e6));
+        Backoff { first: first.min(longest / 4).max(base.min(longest)), most: longest }
+    }
+
     /// The span in which the next call falls after `failures` in a row (none: no wait).
     pub fn span(&self, failures: u32) -> Duration {
         match failures {
@@ -63,6 +75,16 @@
         }
     }
 
+    #[test]
+    fn the_first_span_grows_with_the_fleet() {
+        let (base, longest) = (MS(250), MS(20_000));
+        let first = |gateways| Backoff::shared(base, gateways, longest).first;
+        assert_eq!([first(1.0), first(4.0), first(5.0)], [base; 3]);
+        assert_eq!(first(100.0), MS(5000));
+        assert_eq!(first(300.0), MS(5000), "a quarter of the longest at most");
+        assert_eq!(Backoff::shared(base, 100.0, MS(100)).first, MS(100));
+    }
+
     #[test]
     fn a_first_span_longer_than_the_most_is_kept() {
         let backoff = Backoff { first: MS(500), most: MS(100) };
