A discovery that fell silent is asked again at once; only one that says no is left alone

Ruled out: crowding (no answer but 200 in any log), watches (all noticed at 5.3 s), new processes (killed at 11.0 s), sends written after the news (those gateways had not heard it).

Change: fleet/src/recall.rs tells silence from refusal. After silence the next call comes at once, paced by a quarter of the grace, at any number of failures; the growing, spread wait stays for a shared discovery that says no. Log lines tell connection, version and how long it was silent; one line a list. Entries and answers that can't be read lose nothing but themselves, with the reason logged; an indented list of 1,024 servers is read with the least memory.

--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -1,15 +1,18 @@
 //! Follows the list of app servers over HTTP/1.1: the whole list first, then one watch after another on one
-//! connection, and a new connection where the old one breaks or stays silent.
+//! connection, and a new connection where the old one breaks or stays silent. When to ask again is
+//! [`wellcrank_fleet::recall`]'s to say.
 
 use crate::pipe::Pipe;
 use crate::turn::{Hub, Side};
 use mio::event::Event;
 use nanorand::{Rng, WyRand};
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
+use serde_json::Value;
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::time::Duration;
 use wellcrank::port::*;
-use wellcrank_fleet::backoff::Backoff;
+use wellcrank_fleet::recall::{Failure, Recall, Terms};
 
 /// A list or a change of it, as discovery words it.
 #[derive(Deserialize)]
@@ -17,7 +20,13 @@
     rev: u64,
     all: bool,
     #[serde(default)]
-    targets: Vec<Target>,
+    targets: Vec<Entry>,
+}
+
+/// An entry of it. One that can't be read loses nothing but itself.
+enum Entry {
+    Read(Target),
+    Wrong { uid: Option<String>, why: String },
 }
 
 #[derive(Deserialize)]
@@ -31,15 +40,47 @@
     model: String,
     #[serde(default)]
     pod_group: u64,
-    state: String,
+    state: State,
     capacity_hint: Option<f64>,
     #[serde(default)]
     boot_ms: u64,
 }
 
-/// The lines of a list, each with the address of the server if it has one.
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Active,
+    Leaving,
+    Left,
+}
+
+impl<'de> Deserialize<'de> for Entry {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Entry, D::Error> {
+        let value = Value::deserialize(from)?;
+        Ok(Target::deserialize(&value).map_or_else(
+            |why| Entry::Wrong {
+                uid: value.get("uid").and_then(Value::as_str).map(str::to_string),
+                why: why.to_string(),
+            },
+            Entry::Read,
+        ))
+    }
+}
+
+/// The lines of a list, each with the address of the server if it has one that can be read.
 pub type Lines = Vec<(Listed, Option<SocketAddr>)>;
 
+/// A list or a change of it, in our words.
+pub struct Change {
+    pub rev: u64,
+    pub whole: bool,
+    pub lines: Lines,
+    /// Servers of which nothing could be read but the name: they stay as they were.
+    pub kept: Vec<ServerId>,
+    /// What could not be read, and why.
+    pub wrong: Vec<String>,
+}
+
 impl News {
     pub fn rev(&self) -> u64 {
         self.rev
@@ -50,14 +91,30 @@
     }
 
     /// Discovery tells starts in Unix time, from which the gateway's clock counts as well.
-    pub fn lines(self) -> (bool, Lines) {
-        let line = |target: Target| {
+    pub fn change(self) -> Change {
+        let mut change =
+            Change { rev: self.rev, whole: self.all, lines: vec![], kept: vec![], wrong: vec![] };
+        for (place, entry) in self.targets.into_iter().enumerate() {
+            let target = match entry {
+                Entry::Read(target) => target,
+                Entry::Wrong { uid, why } => {
+                    let name = uid.as_deref().unwrap_or("no uid");
+                    change.wrong.push(format!("entry {place} ({name}): {why}"));
+                    change.kept.extend(uid.map(|uid| uid.as_str().into()));
+                    continue;
+                }
+            };
+            let at = target.endpoint.parse().ok();
+            if at.is_none() && !(target.endpoint.is_empty() && matches!(target.state, State::Left)) {
+                let (uid, endpoint) = (&target.uid, &target.endpoint);
+                change.wrong.push(format!("entry {place} ({uid}): {endpoint:?} is no address"));
+            }
             let listed = Listed {
                 server: target.uid.as_str().into(),
-                phase: match target.state.as_str() {
-                    "active" => Phase::Ready,
-                    "left" => Phase::Gone,
-                    _ => Phase::Draining,
+                phase: match target.state {
+                    State::Active => Phase::Ready,
+                    State::Leaving => Phase::Draining,
+                    State::Left => Phase::Gone,
                 },
                 started: (target.boot_ms > 0).then(|| Duration::from_millis(target.boot_ms)),
                 cell: target.pod_group,
@@ -65,9 +122,9 @@
                 kind: target.model,
                 weight: target.capacity_hint.unwrap_or(1.0),
             };
-            (listed, target.endpoint.parse().ok())
-        };
-        (self.all, self.targets.into_iter().map(line).collect())
+            change.lines.push((listed, at));
+        }
+        change
     }
 }
 
@@ -80,19 +137,28 @@
     /// The version of the last list or change that this gateway has, also across connections: a call then asks
     /// for what changed since, which is small, in place of the whole list. None: the whole list is wanted.
     rev: Option<u64>,
-    /// When the call that is out should be answered at the latest, or a new connection is due.
-    patience: Duration,
+    /// When a new connection is due, where there is none.
+    next: Duration,
     asking: bool,
+    /// When the call that is out, or the connection for it, began; and when the last list came.
     asked: Duration,
-    /// Calls in a row that failed, by silence or by an answer that is no list: each has the next wait longer.
-    failures: u32,
-    silent: bool,
+    heard: Duration,
+    recall: Recall,
     rng: WyRand,
 }
 
 impl Discovery {
     /// Follows the list at `at`, from the version `rev` that this gateway was told at its start, if any.
-    pub fn new(at: SocketAddr, rev: Option<u64>, seed: u64) -> Discovery {
+    pub fn new(at: SocketAddr, rev: Option<u64>, seed: u64, hub: &Hub) -> Discovery {
+        let facts = &hub.facts;
+        // Pushed lists come from an agent on the gateway's own machine; else the fleet shares a service.
+        let shared = facts.text("registry_mode") == "subscribe";
+        let terms = Terms {
+            connect: facts.span("limits.connect_timeout"),
+            grace: facts.span("rules.stop_sending_within"),
+            within: facts.span("rules.ask_within"),
+            sharing: shared.then(|| facts.number("gateways")),
+        };
         Discovery {
             at,
             host: at.to_string(),
@@ -100,11 +166,11 @@
             key: 0,
             wanted: false,
             rev,
-            patience: Duration::ZERO,
+            next: Duration::ZERO,
             asking: false,
-            asked: Duration::ZERO,
-            failures: 0,
-            silent: false,
+            asked: hub.now,
+            heard: hub.now,
+            recall: Recall::new(terms),
             rng: WyRand::new_seed(seed),
         }
     }
@@ -112,7 +178,8 @@
     /// Discovery is elsewhere from now on: the list is followed there, whole at first, as its versions are its own.
     pub fn move_to(&mut self, hub: &mut Hub, at: SocketAddr) {
         if at != self.at {
-            (self.at, self.host, self.failures, self.rev) = (at, at.to_string(), 0, None);
+            (self.at, self.host, self.rev) = (at, at.to_string(), None);
+            self.recall.answered();
             self.drop_connection(hub);
             if self.wanted {
                 self.connect(hub);
@@ -137,43 +204,47 @@
     fn connect(&mut self, hub: &mut Hub) {
         self.drop_connection(hub);
         self.key += 1;
+        self.asked = hub.now;
         self.pipe = Pipe::connect(hub, self.at, Side::Discovery, self.key).ok();
         if self.pipe.is_none() {
-            return self.failed(hub);
+            return self.failed(hub, Failure::Unheard, "no connection");
         }
         self.ask(hub);
     }
 
-    /// How long an answer that need not wait may take: a connection's time, twice as long after each failure.
-    fn answer_time(&self, hub: &Hub) -> Duration {
-        hub.facts.span("limits.connect_timeout") * (1 << self.failures.min(4))
-    }
-
     /// The connection is over; a new one is made at the next sweep.
     fn drop_connection(&mut self, hub: &mut Hub) {
         self.asking = false;
-        self.patience = self.patience.min(hub.now);
+        self.next = self.next.min(hub.now);
         if let Some(pipe) = self.pipe.take() {
             pipe.close(hub);
         }
     }
 
-    /// A call failed: the connection is given up, and the next call waits a draw of a span that doubles with each
-    /// failure in a row and begins wider in a larger fleet, so that gateways that fail together do not come again
-    /// together, nor so often that a crowded discovery never empties. The longest span is twice the time within which
-    /// the list is to be asked for, half what the rules allow after a failed call.
-    fn failed(&mut self, hub: &mut Hub) {
+    /// A call failed: the connection is given up, and the next call comes when [`Recall`] says. Told once for each
+    /// kind of failure, until a list comes.
+    fn failed(&mut self, hub: &mut Hub, how: Failure, why: &str) {
+        let before = self.recall;
         self.drop_connection(hub);
-        self.failures = self.failures.saturating_add(1);
-        let base = hub.facts.span("limits.connect_timeout").max(Duration::from_millis(10));
-        let longest = (hub.facts.span("rules.ask_within") * 2).max(base * 16);
-        let backoff = Backoff::shared(base, hub.facts.number("gateways"), longest);
-        self.patience = hub.now + backoff.wait(self.failures, self.rng.generate::<f64>());
+        let draw = self.rng.generate::<f64>();
+        self.next = hub.now + self.recall.failed(how, hub.now.saturating_sub(self.asked), draw);
+        let (heard, asked) = (hub.now.saturating_sub(self.heard), hub.now.saturating_sub(self.asked));
+        match how {
+            Failure::Unheard if !before.silent() => {
+                slog::warn!(hub.log, "discovery is silent, connecting anew"; "why" => why, "rev" => self.rev,
+                    "connection" => self.key, "asked" => ?asked, "heard" => ?heard);
+            }
+            Failure::Refused if !before.refused() => {
+                slog::warn!(hub.log, "discovery answers what is no list"; "why" => why, "rev" => self.rev,
+                    "connection" => self.key, "next" => ?self.next.saturating_sub(hub.now));
+            }
+            _ => (),
+        }
     }
 
     fn ask(&mut self, hub: &mut Hub) {
         let Some(pipe) = &mut self.pipe else { return };
-        let wait = watch(hub);
+        let wait = self.recall.watch();
         let query = match self.rev {
             Some(rev) => format!("?after={rev}&wait_ms={}", wait.as_millis()),
             None => String::new(),
@@ -181,11 +252,20 @@
         let host = &self.host;
         let call = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {host}\r\n\r\n");
         pipe.put(hub, |out| out.extend_from_slice(call.as_bytes()));
-        let wait = if self.rev.is_some() { wait } else { Duration::ZERO };
-        self.patience = hub.now + wait + self.answer_time(hub);
         (self.asking, self.asked) = (true, hub.now);
     }
 
+    /// Until when the call that is out may go unanswered, with the wait that it asks for.
+    fn patience(&self) -> Duration {
+        let up = self.pipe.as_ref().is_some_and(|pipe| pipe.up);
+        let wait = match self.rev {
+            _ if !up => self.recall.coming_up(),
+            Some(_) => self.recall.watch() + self.recall.answer_time(false),
+            None => self.recall.answer_time(true),
+        };
+        self.asked + wait
+    }
+
     /// Says what has come, if a whole answer has.
     pub fn ready(&mut self, hub: &mut Hub, key: usize, event: &Event) -> Option<News> {
         let pipe = self.pipe.as_mut().filter(|_| key == self.key)?;
@@ -193,33 +273,42 @@
             self.flush(hub, key);
         }
         let pipe = self.pipe.as_mut()?;
-        let open = pipe.read(hub, hub.budget.bytes);
-        let read = answer(&pipe.input);
+        let most = hub.budget.bytes.max(LIST);
+        let open = pipe.read(hub, most);
+        let read = match answer(&pipe.input, most) {
+            Ok(None) if pipe.input.len() >= most => Err(TOO_LONG.to_string()),
+            read => read,
+        };
         let news = match read {
             Ok(Some((news, took))) => {
                 pipe.take(hub, took);
-                self.rev = Some(news.rev);
-                self.asking = false;
-                if self.failures > 0 {
-                    slog::info!(hub.log, "discovery answers again"; "after" => self.failures);
+                if self.recall.failures() > 0 {
+                    slog::info!(hub.log, "discovery answers again"; "after" => self.recall.failures(),
+                        "connection" => self.key, "asked" => ?hub.now.saturating_sub(self.asked),
+                        "silent" => ?hub.now.saturating_sub(self.heard), "after rev" => self.rev,
+                        "rev" => news.rev);
                 }
-                (self.failures, self.silent) = (0, false);
+                (self.rev, self.asking, self.heard) = (Some(news.rev), false, hub.now);
+                self.recall.answered();
                 Some(news)
             }
             Ok(None) => None,
             Err(why) => {
-                if self.failures == 0 {
-                    slog::warn!(hub.log, "discovery answers what is no list"; "why" => why);
-                }
-                self.failed(hub);
+                self.failed(hub, Failure::Refused, &why);
                 return None;
             }
         };
         if !open {
-            self.drop_connection(hub);
+            if self.asking {
+                let begun = self.pipe.as_ref().is_some_and(|pipe| !pipe.input.is_empty());
+                let why = if begun { "an answer cut short" } else { "the connection ended" };
+                self.failed(hub, Failure::Unheard, why);
+            } else {
+                self.drop_connection(hub);
+            }
         } else if let Some(news) = news.as_ref().filter(|_| self.wanted) {
             // Nothing new and too soon: it does not wait, and is asked at the next tick instead of all the time.
-            if !news.is_empty() || hub.now >= self.asked + watch(hub) / 2 {
+            if !news.is_empty() || hub.now >= self.asked + self.recall.watch() / 2 {
                 self.ask(hub);
             }
         }
@@ -229,7 +318,7 @@
     pub fn flush(&mut self, hub: &mut Hub, key: usize) {
         let Some(pipe) = self.pipe.as_mut().filter(|_| key == self.key) else { return };
         if pipe.flush(hub).is_err() {
-            self.failed(hub);
+            self.failed(hub, Failure::Unheard, "the connection broke");
         }
     }
 
@@ -238,27 +327,30 @@
         if self.wanted && !self.asking && self.pipe.is_some() {
             return self.ask(hub);
         }
-        if !self.wanted || hub.now < self.patience {
+        if !self.wanted {
             return;
         }
         if self.asking {
-            if !self.silent {
-                slog::warn!(hub.log, "discovery is silent, connecting anew");
+            if hub.now < self.patience() {
+                return;
             }
-            self.silent = true;
-            return self.failed(hub);
+            let up = self.pipe.as_ref().is_some_and(|pipe| pipe.up);
+            self.failed(hub, Failure::Unheard, if up { "no answer" } else { "it never came up" });
+        }
+        if hub.now >= self.next {
+            self.connect(hub);
         }
-        self.connect(hub);
     }
 }
 
-/// A watch may be silent for half the time within which the rules want the list asked for.
-fn watch(hub: &Hub) -> Duration {
-    hub.facts.span("rules.ask_within") / 2
-}
+/// A list may be as long as this however little memory there is: 4 KiB each for 1,024 servers.
+const LIST: usize = 4 << 20;
 
-/// Takes a whole HTTP answer off the front, past 1xx ones: its list, and the bytes that it took.
-fn answer(bytes: &[u8]) -> Result<Option<(News, usize)>, String> {
+const TOO_LONG: &str = "longer than the memory allows";
+
+/// Takes a whole HTTP answer off the front, past 1xx ones: its list, and the bytes that it took. An answer of more
+/// than `most` bytes is wrong.
+fn answer(bytes: &[u8], most: usize) -> Result<Option<(News, usize)>, String> {
     let mut headers = [httparse::EMPTY_HEADER; 32];
     let mut head = httparse::Response::new(&mut headers);
     let start = match head.parse(bytes).map_err(|error| error.to_string())? {
@@ -266,79 +358,162 @@
         httparse::Status::Partial => return Ok(None),
     };
     if head.code.is_some_and(|code| (100..200).contains(&code)) {
-        return Ok(answer(&bytes[start..])?.map(|(news, took)| (news, start + took)));
+        return Ok(answer(&bytes[start..], most)?.map(|(news, took)| (news, start + took)));
     }
     let header = |name: &str| {
         let found = head.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
         found.and_then(|header| std::str::from_utf8(header.value).ok())
     };
-    let (body, end) = match header("Content-Length").map(str::parse) {
+    // What is no list is none before its body has come, nor does it need one.
+    let code = head.code.unwrap_or(0);
+    if code != 200 {
+        return Err(format!("status {code}"));
+    }
+    let (body, end) = match header("Content-Length").map(|length| length.trim().parse::<usize>()) {
+        Some(Ok(length)) if length > most.saturating_sub(start) => return Err(TOO_LONG.into()),
         Some(Ok(length)) if bytes.len() - start < length => return Ok(None),
-        Some(Ok(length)) => (bytes[start..start + length].to_vec(), start + length),
+        Some(Ok(length)) => (Cow::Borrowed(&bytes[start..start + length]), start + length),
         Some(Err(_)) => return Err("a wrong length".into()),
         None if header("Transfer-Encoding").is_some_and(|how| how.eq_ignore_ascii_case("chunked")) => {
-            match chunks(bytes, start)? {
-                Some(whole) => whole,
+            match chunks(bytes, start, most)? {
+                Some((body, end)) => (Cow::Owned(body), end),
                 None => return Ok(None),
             }
         }
         None => return Err("no length".into()),
     };
-    match head.code {
-        Some(200) => {
-            serde_json::from_slice(&body).map(|news| Some((news, end))).map_err(|error| error.to_string())
-        }
-        code => Err(format!("status {}", code.unwrap_or(0))),
-    }
+    serde_json::from_slice(&body).map(|news| Some((news, end))).map_err(|error| error.to_string())
 }
 
-fn chunks(bytes: &[u8], mut next: usize) -> Result<Option<(Vec<u8>, usize)>, String> {
+fn chunks(bytes: &[u8], mut next: usize, most: usize) -> Result<Option<(Vec<u8>, usize)>, String> {
     let mut body = Vec::new();
     loop {
         let (head, length) = match httparse::parse_chunk_size(&bytes[next..]).map_err(|e| e.to_string())? {
-            httparse::Status::Complete((head, length)) => (head, length as usize),
+            httparse::Status::Complete((head, length)) => (head, length),
             httparse::Status::Partial => return Ok(None),
         };
         let start = next + head;
-        let end = start.saturating_add(length);
-        if bytes.len() < end.saturating_add(2) {
+        let end = usize::try_from(length).ok().and_then(|length| start.checked_add(length)?.checked_add(2));
+        let Some(end) = end.filter(|end| *end <= most) else { return Err(TOO_LONG.into()) };
+        if bytes.len() < end {
             return Ok(None);
         }
-        body.extend_from_slice(&bytes[start..end]);
-        next = end + 2;
+        body.extend_from_slice(&bytes[start..end - 2]);
+        next = end;
         if length == 0 {
             return Ok(Some((body, next)));
         }
     }
 }
 
-#[test]
-fn answers_are_taken_whole_or_not_at_all() {
-    let body = r#"{"rev":7,"all":false,"targets":[]}"#;
-    let (front, back) = body.split_at(9);
-    let plain = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
-    let chunked = format!(
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{front}\r\n{:x}\r\n{back}\r\n0\r\n\r\n",
-        front.len(),
-        back.len()
-    );
-    let early = format!("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n{plain}");
-    for whole in [plain, chunked, early] {
-        for end in 0..whole.len() {
-            assert!(answer(&whole.as_bytes()[..end]).expect("nothing is wrong").is_none());
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What a gateway with little memory takes.
+    fn read(bytes: &[u8]) -> Result<Option<(News, usize)>, String> {
+        answer(bytes, LIST)
+    }
+
+    fn plain(body: &str) -> String {
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+    }
+
+    fn chunked(body: &str, size: usize) -> String {
+        let parts = body.as_bytes().chunks(size).map(|part| {
+            let text = std::str::from_utf8(part).expect("plain letters");
+            format!("{:x}\r\n{text}\r\n", text.len())
+        });
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n", parts.collect::<String>())
+    }
+
+    #[test]
+    fn answers_are_taken_whole_or_not_at_all() {
+        let body = r#"{"rev":7,"all":false,"targets":[]}"#;
+        let plain = plain(body);
+        let early =
+            format!("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n{plain}");
+        for whole in [plain, chunked(body, 9), early] {
+            for end in 0..whole.len() {
+                assert!(read(&whole.as_bytes()[..end]).expect("nothing is wrong").is_none());
+            }
+            let (news, took) = read(whole.as_bytes()).expect("nothing is wrong").expect("all is there");
+            assert_eq!((news.rev, news.all, took), (7, false, whole.len()));
+        }
+        for wrong in [
+            "HTTP/1.1 200 OK\r\n\r\n",
+            "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\n{}",
+            "HTTP/1.1 503 No\r\nContent-Length: 900\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+            "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\n{}",
+            "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n{}",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+            "+OK\r\n\r\n",
+        ] {
+            assert!(read(wrong.as_bytes()).is_err(), "{wrong}");
+        }
+    }
+
+    #[test]
+    fn an_indented_list_of_1024_servers_is_read_with_the_least_memory() {
+        let indent = format!("\n{}", " ".repeat(16));
+        let entry = |n: usize| {
+            format!(
+                r#"{indent}{{{indent}"uid": "s-{n:08x}",{indent}"endpoint": "10.{}.{}.18:6379",{indent}"az": "a",
+                {indent}"model": "m2",{indent}"pod_group": {},{indent}"state": "{}",{indent}"capacity_hint": 1.0,
+                {indent}"boot_ms": 1733100000000{indent}}}"#,
+                n / 256,
+                n % 256,
+                n / 8,
+                if n.is_multiple_of(3) { "leaving" } else { "active" }
+            )
+        };
+        let entries: Vec<String> = (0..1024).map(entry).collect();
+        let body =
+            format!("{{\n  \"rev\": 41,\n  \"all\": true,\n  \"targets\": [{}\n]}}\n", entries.join(","));
+        for whole in [plain(&body), chunked(&body, 1000), chunked(&body, 7), chunked(&body, 400_000)] {
+            let (news, took) = read(whole.as_bytes()).expect("nothing is wrong").expect("all is there");
+            let change = news.change();
+            assert_eq!((change.rev, change.whole, change.lines.len(), took), (41, true, 1024, whole.len()));
+            assert!(change.wrong.is_empty() && change.lines.iter().all(|(_, at)| at.is_some()));
+            let leaving = change.lines.iter().filter(|(line, _)| line.phase == Phase::Draining).count();
+            assert_eq!(leaving, 342);
         }
-        let (news, took) = answer(whole.as_bytes()).expect("nothing is wrong").expect("all is there");
-        assert_eq!((news.rev, news.all, took), (7, false, whole.len()));
     }
-    for wrong in [
-        "HTTP/1.1 200 OK\r\n\r\n",
-        "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\n{}",
-        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
-        "+OK\r\n\r\n",
-    ] {
-        assert!(answer(wrong.as_bytes()).is_err(), "{wrong}");
+
+    #[test]
+    fn an_entry_that_cannot_be_read_loses_nothing_but_itself() {
+        let body = r#"{"rev":9,"all":true,"targets":[
+            {"uid":"a","endpoint":"127.0.0.1:1","state":"active"},
+            {"uid":"b","endpoint":"127.0.0.1:2","state":"paused"},
+            {"uid":"c","endpoint":"render-3","state":"leaving"},
+            {"endpoint":"127.0.0.1:4","state":"active"},
+            {"uid":"e","endpoint":"127.0.0.1:5","state":"active","boot_ms":-1},
+            7,
+            {"uid":"f","state":"left"}]}"#;
+        let (news, _) = read(plain(body).as_bytes()).expect("a list").expect("whole");
+        let change = news.change();
+        let read: Vec<(&str, Phase, bool)> =
+            change.lines.iter().map(|(line, at)| (&*line.server.0, line.phase, at.is_some())).collect();
+        assert_eq!(
+            read,
+            [("a", Phase::Ready, true), ("c", Phase::Draining, false), ("f", Phase::Gone, false)]
+        );
+        let kept: Vec<&str> = change.kept.iter().map(|server| &*server.0).collect();
+        assert_eq!(kept, ["b", "e"]);
+        let begins = [
+            "entry 1 (b): unknown variant `paused`",
+            "entry 2 (c): \"render-3\" is no address",
+            "entry 3 (no uid)",
+            "entry 4 (e)",
+            "entry 5 (no uid)",
+        ];
+        assert_eq!(change.wrong.len(), begins.len());
+        assert!(
+            change.wrong.iter().zip(begins).all(|(wrong, begin)| wrong.starts_with(begin)),
+            "{:?}",
+            change.wrong
+        );
     }
-    let vast = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n";
-    assert!(answer(vast).expect("it may yet come").is_none());
 }
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -83,13 +83,14 @@
         u64::from_str_radix(&told.seed, 16).map_err(|error| format!("seed {:?}: {error}", told.seed))?;
     let known = told.known.as_ref().filter(|known| !known.is_empty()).map(discovery::News::rev);
     let now = hub.now;
+    let discovery = discovery::Discovery::new(told.discovery, known, seed ^ 0x5eed_d15c, &hub);
     let world = Rc::new(RefCell::new(world::World {
         hub,
         calls: calls::Calls::default(),
         clients,
         pool: pool::Pool::default(),
         counter,
-        discovery: discovery::Discovery::new(told.discovery, known, seed ^ 0x5eed_d15c),
+        discovery,
         peers,
         signals,
         stopping: None,
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -4,13 +4,14 @@
 
 use crate::calls::{Asked, Calls};
 use crate::clients::Clients;
+use crate::discovery::Change;
 use crate::must;
 use crate::pipe::Pipe;
 use crate::resp::{self, Reply};
 use crate::turn::{Due, DueId, Hub, News, Serial, Side};
 use mio::event::Event;
 use slab::Slab;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -70,13 +71,29 @@
         ended(hub, call.clone(), number, Outcome::NotSent, hub.now);
     }
 
+    /// A server without an address that can be read keeps the one it has; one that never had one is left out. Where
+    /// entries of a whole list can't be read, their servers stay as they are, so the list becomes what changes.
+    pub fn complete(&self, change: &mut Change) {
+        change.lines.retain(|(line, at)| at.is_some() || self.known.contains_key(&line.server));
+        if !change.whole || change.kept.is_empty() {
+            return;
+        }
+        let told: BTreeSet<&ServerId> =
+            change.lines.iter().map(|(line, _)| &line.server).chain(&change.kept).collect();
+        let missing: Vec<ServerId> =
+            self.known.keys().filter(|server| !told.contains(server)).cloned().collect();
+        change.whole = false;
+        change.lines.extend(missing.into_iter().map(|server| (Listed::gone(server), None)));
+    }
+
     /// The server list has told: addresses are known, and what was not begun at a server that drains or is
     /// gone is not begun any more.
     pub fn listed(&mut self, hub: &mut Hub, whole: bool, lines: Vec<(Listed, Option<SocketAddr>)>) {
         let mut over: Vec<usize> = Vec::new();
         if whole {
+            let told: BTreeSet<&ServerId> = lines.iter().map(|(line, _)| &line.server).collect();
             for (server, known) in &mut self.known {
-                known.ready &= lines.iter().any(|(line, _)| line.server == *server);
+                known.ready &= told.contains(server);
             }
         }
         for (line, at) in lines {
@@ -108,9 +125,9 @@
         for key in over {
             self.fail(hub, key);
         }
-        let used: Vec<&ServerId> =
+        let used: BTreeSet<&ServerId> =
             self.connections.iter().map(|(_, connection)| &connection.server).collect();
-        self.known.retain(|server, known| known.ready || used.contains(&server));
+        self.known.retain(|server, known| known.ready || used.contains(server));
     }
 
     /// Begins an upstream try. The one place every send passes: its end is reported in any case.
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -59,9 +59,19 @@
 
     /// A list or a change, from discovery or from the gateway's own configuration.
     pub fn listed(&mut self, news: discovery::News) {
-        let (whole, lines) = news.lines();
+        let mut change = news.change();
+        let log = &self.hub.log;
+        if let Some(first) = change.wrong.first() {
+            slog::warn!(log, "the list has entries that can't be read"; "rev" => change.rev,
+                "entries" => change.wrong.len(), "first" => first);
+        }
+        self.pool.complete(&mut change);
+        let discovery::Change { rev, whole, lines, .. } = change;
         if whole || !lines.is_empty() {
             let told = lines.iter().map(|(line, _)| line.clone()).collect();
+            let are = |phase| lines.iter().filter(|(line, _)| line.phase == phase).count();
+            slog::info!(log, "list"; "rev" => rev, "whole" => whole, "ready" => are(Phase::Ready),
+                "leaving" => are(Phase::Draining), "gone" => are(Phase::Gone));
             self.pool.listed(&mut self.hub, whole, lines);
             self.hub.news.push_back(News::Listed(whole, told));
         }
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -4,6 +4,7 @@
 //! ```text
 //! limits 64 40                    memory in MB and sockets, before the node starts (else 192 and 1024)
 //! server a b                      app servers that listen, at a new address each time; 'refuse a' stops one
+//! setting rules.ask_within_ns 1e9  a number in the settings that the node gets, before it starts
 //! node                            starts the node, which knows the servers so far
 //! list a! b- c                    discovery tells: a drains, b is gone, c is there
 //! ask c1 r1 read capped 9000 [N]  client c1 sends API call r1: route, plan, milliseconds to wait, size of a body
@@ -22,7 +23,14 @@
 //!                                 'counter cut' breaks its connections
 //! even                            in time, the holds counted in the newest period's name are all taken off again
 //! moved                           the file names another counter and discovery, SIGHUP, the old ones are cut off
+//! discovery cut                   its connections are cut
 //! discovery away 4                its connections are cut, and the next four calls are turned away (503)
+//! discovery silent|shut|answers   from now on it takes calls and says nothing, also to the watch that is out; ends
+//!                                 each connection at once; answers again, also the calls that still wait
+//! discovery says BYTES            its next answer is these bytes, and it ends the connection (several: one each)
+//! given up 3                      since it fell silent or shut, the node has given up so many calls or connections
+//! grace                           waits as long as sends may go on after a drain was told, and the rule's slack
+//! logged TEXT                     the node's log holds this
 //! asked 6 changes                 six calls have come to discovery, none of them for the whole list
 //! unreadable                      the file is none any more, SIGHUP
 //! stop; gone                      SIGTERM; the node has ended by itself and well
@@ -134,11 +142,22 @@
     format!("{{\"rev\":{},\"all\":true,\"targets\":[{}]}}", list.0, entries.join(","))
 }
 
-/// What discovery was asked, and how many calls it is still to turn away as a crowded one does.
+/// What discovery was asked, how many calls it is still to turn away as a crowded one does, and how it is.
 #[derive(Default)]
 struct Asked {
     heads: Vec<String>,
     away: usize,
+    mode: String,
+    says: VecDeque<String>,
+    given_up: usize,
+}
+
+/// The other side has ended the connection.
+fn ended(socket: &TcpStream) -> bool {
+    socket.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
+    let ended = matches!(socket.peek(&mut [0]), Ok(0));
+    socket.set_read_timeout(None).unwrap();
+    ended
 }
 
 fn discovery(
@@ -149,16 +168,26 @@
     let serve = move |socket: TcpStream| {
         open.lock().unwrap().push(socket.try_clone().unwrap());
         let mut out = socket.try_clone().unwrap();
+        let mode = |mode: &str| asked.lock().unwrap().mode == mode;
+        if mode("shut") {
+            asked.lock().unwrap().given_up += 1;
+            return drop(out.shutdown(Shutdown::Both));
+        }
         let mut input = BufReader::new(socket);
         while let Some(head) = line(&mut input) {
             while line(&mut input).is_some_and(|header| !header.is_empty()) {}
-            let away = {
+            let (away, says) = {
                 let mut asked = asked.lock().unwrap();
                 asked.heads.push(head.clone());
                 let away = asked.away > 0;
                 asked.away -= usize::from(away);
-                away
+                (away, asked.says.pop_front())
             };
+            if let Some(says) = says {
+                let _ = out.write_all(says.as_bytes());
+                let _ = out.shutdown(Shutdown::Both);
+                break;
+            }
             if away {
                 let refusal =
                     "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
@@ -166,8 +195,10 @@
                 break;
             }
             let after = head.split_once("after=").and_then(|(_, rest)| rest.split('&').next()?.parse().ok());
-            while after == Some(list.lock().unwrap().0) {
-                sleep(Duration::from_millis(5));
+            while after == Some(list.lock().unwrap().0) || mode("silent") {
+                if ended(&out) {
+                    return asked.lock().unwrap().given_up += 1;
+                }
             }
             let body = told(&list);
             let _ = write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
@@ -193,6 +224,7 @@
 #[derive(Default)]
 struct Stage {
     limits: Option<(usize, usize)>,
+    settings: Vec<(String, f64)>,
     servers: BTreeMap<String, Server>,
     list: List,
     counter: Arc<Mutex<Counter>>,
@@ -257,7 +289,8 @@
         self.file = std::env::temp_dir().join(format!("wellcrank-{}-{scenario}.json", std::process::id()));
         self.write();
         let mut node = Command::new(env!("CARGO_BIN_EXE_wellcrank-edge"));
-        let node = node.env("BALANCER_CONFIG", &self.file).stderr(Stdio::null());
+        let log = std::fs::File::create(self.file.with_extension("log")).expect("a file for the log");
+        let node = node.env("BALANCER_CONFIG", &self.file).stderr(Stdio::from(log));
         self.node = Some(node.spawn().expect("the node starts"));
         self.until(|stage| TcpStream::connect(&stage.at).ok());
     }
@@ -270,6 +303,10 @@
             counter(self.counter.clone()),
         ];
         let settings = include_str!("scenarios/settings.json");
+        let mut settings: serde_json::Value = serde_json::from_str(settings).expect("settings");
+        for (name, value) in &self.settings {
+            *settings.pointer_mut(&name.replace('.', "/")).expect("a setting") = (*value).into();
+        }
         let config = format!(
             "{{\"name\":\"n0\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"7\",\"counter\":\"{}\",\
              \"limits\":{{\"cores\":1.0,\"memory_mb\":{memory},\"sockets\":{sockets}}},\"known\":{},\
@@ -418,6 +455,34 @@
                 let counter = stage.counter.lock().unwrap();
                 counter.sums.last().is_some_and(|(_, sum)| *sum == 0.0).then_some(())
             }),
+            ["setting", name, value] => {
+                self.settings.push((format!("/{name}"), value.parse().expect("a number")));
+            }
+            ["discovery", "says", ..] => {
+                self.asked.lock().unwrap().says.push_back(unescaped(step));
+            }
+            ["discovery", "cut"] => cut(&mut self.watches.lock().unwrap()),
+            ["discovery", mode @ ("silent" | "shut" | "answers")] => {
+                {
+                    let mut asked = self.asked.lock().unwrap();
+                    (asked.mode, asked.given_up) = (mode.to_string(), 0);
+                }
+                if mode == "shut" {
+                    cut(&mut self.watches.lock().unwrap());
+                }
+            }
+            ["given", "up", count] => {
+                let count: usize = count.parse().unwrap();
+                self.until(|stage| (stage.asked.lock().unwrap().given_up >= count).then_some(()));
+            }
+            ["grace"] => sleep(Duration::from_millis(550)),
+            ["logged", ..] => {
+                let text = step.split_once(' ').unwrap().1;
+                self.until(|stage| {
+                    let log = std::fs::read_to_string(stage.file.with_extension("log")).expect("the log");
+                    log.contains(text).then_some(())
+                });
+            }
             ["discovery", "away", count] => {
                 self.asked.lock().unwrap().away = count.parse().unwrap();
                 cut(&mut self.watches.lock().unwrap());
@@ -470,6 +535,7 @@
             let _ = node.kill();
             let _ = node.wait();
             let _ = std::fs::remove_file(&self.file);
+            let _ = std::fs::remove_file(self.file.with_extension("log"));
         }
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -8,7 +8,7 @@
 use crate::port::*;
 use crate::state::*;
 use nanorand::{Rng, WyRand};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use wellcrank_fleet::subset;
 
@@ -120,7 +120,8 @@
     /// News of the server list: the whole of it, or changes only.
     pub fn listed(&mut self, whole: bool, lines: Vec<Listed>) {
         if whole {
-            self.servers.retain(|id, _| lines.iter().any(|line| line.server == *id));
+            let told: BTreeSet<&ServerId> = lines.iter().map(|line| &line.server).collect();
+            self.servers.retain(|id, _| told.contains(id));
         }
         for listed in lines {
             let (id, known) = (listed.server.clone(), self.servers.remove(&listed.server));
--- a/src/port.rs
+++ b/src/port.rs
@@ -165,6 +165,14 @@
     pub weight: f64,
 }
 
+impl Listed {
+    /// A server that is no longer there.
+    pub fn gone(server: ServerId) -> Self {
+        let (zone, kind) = (String::new(), String::new());
+        Listed { server, phase: Phase::Gone, started: None, cell: 0, zone, kind, weight: 1.0 }
+    }
+}
+
 /// An API call as it comes in.
 #[derive(Clone, Debug)]
 pub struct Arrival {
