A stopping gateway answers all that it took before it can be killed

Cause: what hung servers held stayed open until the client's own time (5 s), past SIGKILL (3.7 s), and what came behind it on the connection waited with it; connections were closed at ticks only, so one whose client came back within 50 ms of its answer was kept for ever ("took request 3.77 s after it was told to end").

Change: edge/src/leaving.rs says by when all must be answered (the longest client timeout, at most 3 s, and 0.5 s of the platform's 0.7); from then on the decisions answer what is open, by route. A connection closes behind its last answer.

--- a/edge/src/calls.rs
+++ b/edge/src/calls.rs
@@ -191,6 +191,11 @@
         self.open.get(&serial(call)).is_some_and(|open| !open.answered)
     }
 
+    /// All that are still owed theirs.
+    pub fn unanswered(&self) -> impl Iterator<Item = CallId> + '_ {
+        self.open.iter().filter(|(_, open)| !open.answered).map(|(serial, _)| id(*serial))
+    }
+
     pub fn remove(&mut self, call: &CallId) -> Option<Open> {
         let open = self.open.remove(&serial(call))?;
         self.numbers.remove(&open.asked.number);
--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -205,7 +205,8 @@
                 }
                 let quiet = client.quiet();
                 self.room |= quiet;
-                if client.closing && quiet {
+                let leaves = hub.leaving && client.idle(hub);
+                if (client.closing && quiet) || (leaves && self.stays_idle(hub, key, calls)) {
                     self.close(hub, key, calls);
                 }
             }
--- /dev/null
+++ b/edge/src/leaving.rs
@@ -0,0 +1,46 @@
+//! The end of a gateway that was told to stop: until when it may go on as before, and by when everything that it has
+//! taken must be answered, since it is killed then.
+
+use std::time::Duration;
+use wellcrank::port::Facts;
+
+/// The platform kills no sooner than the longest client timeout, counted as `LONGEST` where it is longer, and `MORE`
+/// after it told the gateway to stop. `SOONER` is kept for the answers' way out.
+const LONGEST: Duration = Duration::from_secs(3);
+const MORE: Duration = Duration::from_millis(700);
+const SOONER: Duration = Duration::from_millis(200);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Leaving {
+    /// From then on connections are closed between two API calls: others have had the time to connect and to notice.
+    pub closes: Duration,
+    /// From then on every API call is answered at once.
+    pub answers: Duration,
+}
+
+impl Leaving {
+    /// Told to stop at `now`.
+    pub fn new(now: Duration, facts: &Facts) -> Leaving {
+        let names = facts.0.keys().filter(|name| name.ends_with(".client_timeout"));
+        let longest = names.map(|name| facts.span(name)).max().unwrap_or_default();
+        Leaving {
+            closes: now + facts.span("limits.connect_timeout") * 2,
+            answers: now + longest.min(LONGEST) + (MORE - SOONER),
+        }
+    }
+}
+
+#[test]
+fn all_is_answered_before_the_platform_kills() {
+    let facts = |spans: &[f64]| {
+        let mut facts = Facts::default();
+        for (place, span) in spans.iter().enumerate() {
+            let name = format!("routes.r{place}.client_timeout");
+            facts.0.insert(name, wellcrank::port::Fact::Number(*span));
+        }
+        facts
+    };
+    let (start, ms) = (Duration::from_secs(9), Duration::from_millis);
+    assert_eq!(Leaving::new(start, &facts(&[0.6, 0.4])).answers, start + ms(1100));
+    assert_eq!(Leaving::new(start, &facts(&[0.6, 20.0])).answers, start + ms(3500));
+}
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod counter;
 mod discovery;
+mod leaving;
 mod peers;
 mod pipe;
 mod pool;
--- a/edge/src/turn.rs
+++ b/edge/src/turn.rs
@@ -59,6 +59,8 @@
 pub enum News {
     Arrived(Arrival),
     Gone(CallId),
+    /// Its time is up sooner than it was told.
+    Expired(CallId),
     Ended(CallId, TryNumber, Ended),
     Counted(CounterName, Counted),
     Listed(bool, Vec<Listed>),
@@ -90,6 +92,8 @@
     pub held: usize,
     /// The poll says that the other side has ended: reads go on until they meet the end.
     pub ending: bool,
+    /// The gateway stops: a connection is closed as soon as nothing is open on it.
+    pub leaving: bool,
     pub tally: Tally,
     pub log: Logger,
     due: BTreeMap<DueId, Due>,
@@ -111,6 +115,7 @@
             scratch: vec![0; 64 * 1024].into(),
             held: 0,
             ending: false,
+            leaving: false,
             tally: Tally::default(),
             log,
             due: BTreeMap::new(),
@@ -214,6 +219,7 @@
                 world.borrow_mut().left(&call);
                 control.gone(&call);
             }
+            News::Expired(call) => control.expired(&call),
             News::Ended(call, number, mut end) => {
                 world.borrow_mut().hub.tally.ended(end.outcome);
                 end.closed |= !world.borrow().calls.is_open(&call);
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -5,6 +5,7 @@
 use crate::clients::Clients;
 use crate::counter::Counter;
 use crate::discovery::{self, Discovery};
+use crate::leaving::Leaving;
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::turn::{Due, Hub, News, Side};
@@ -23,8 +24,8 @@
     pub discovery: Discovery,
     pub peers: Peers,
     pub signals: Signals,
-    /// Since when it is to stop.
-    pub stopping: Option<Duration>,
+    /// Told to stop.
+    pub stopping: Option<Leaving>,
     /// Seconds since the start, and when the next one is due.
     pub seconds: u64,
     pub next_second: Duration,
@@ -50,7 +51,7 @@
                         reread(hub, &mut self.counter, &mut self.discovery);
                     } else if self.stopping.is_none() {
                         slog::info!(hub.log, "stopping: still answering"; "open" => calls.len());
-                        self.stopping = Some(hub.now);
+                        self.stopping = Some(Leaving::new(hub.now, &hub.facts));
                     }
                 }
             }
@@ -68,10 +69,10 @@
         self.pool.complete(&mut change);
         let discovery::Change { rev, whole, lines, .. } = change;
         if whole || !lines.is_empty() {
-            let told = lines.iter().map(|(line, _)| line.clone()).collect();
             let are = |phase| lines.iter().filter(|(line, _)| line.phase == phase).count();
             slog::info!(log, "list"; "rev" => rev, "whole" => whole, "ready" => are(Phase::Ready),
                 "leaving" => are(Phase::Draining), "gone" => are(Phase::Gone));
+            let told = lines.iter().map(|(line, _)| line.clone()).collect();
             self.pool.listed(&mut self.hub, whole, lines);
             self.hub.news.push_back(News::Listed(whole, told));
         }
@@ -94,17 +95,19 @@
 
     /// Told to stop, and others have had the time to connect and to notice; until then all goes on as before.
     fn leaving(&self) -> bool {
-        let time = self.hub.facts.span("limits.connect_timeout") * 2;
-        self.stopping.is_some_and(|since| since + time < self.hub.now)
+        self.stopping.is_some_and(|leaving| leaving.closes < self.hub.now)
     }
 
     /// What is done now and then; hangs on the decisions' one periodic timer.
     fn sweep(&mut self) {
-        let leaving = self.leaving();
+        self.hub.leaving = self.leaving();
         let World { hub, calls, clients, pool, .. } = self;
-        if leaving {
+        if hub.leaving {
             clients.close_idle(hub, calls);
         }
+        if self.stopping.is_some_and(|leaving| leaving.answers <= hub.now) {
+            hub.news.extend(calls.unanswered().map(News::Expired));
+        }
         clients.sweep_idle(hub, calls);
         self.discovery.sweep(hub);
         if hub.now < self.next_second {
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -34,6 +34,7 @@
 //! asked 6 changes                 six calls have come to discovery, none of them for the whole list
 //! unreadable                      the file is none any more, SIGHUP
 //! stop; gone                      SIGTERM; the node has ended by itself and well
+//! killed                          SIGKILL, as long after SIGTERM as the platform waits at the least
 //! times 20 STEPS                  the steps, parted by ';', so many times, with '%' the number of the time
 //! ```
 
@@ -514,6 +515,10 @@
                 self.signal("-HUP");
             }
             ["stop"] => self.signal("-TERM"),
+            ["killed"] => {
+                sleep(Duration::from_millis(3700));
+                self.signal("-KILL");
+            }
             ["gone"] => {
                 let ended = self.until(|stage| stage.node.as_mut()?.try_wait().expect("its state"));
                 assert!(ended.success(), "{ended}");
--- a/src/control.rs
+++ b/src/control.rs
@@ -218,6 +218,11 @@
         }
     }
 
+    /// Its time is up sooner than it was told: it is answered now.
+    pub fn expired(&mut self, call: &CallId) {
+        self.answer(call, 1.0);
+    }
+
     /// The answer has begun to stream: the try belongs to the client, and no time limit runs on.
     pub fn streaming(&mut self, call: &CallId) {
         self.calls.remove(call);
