Lists of 1,024 servers and peers are tested; versions that go back ask for the whole list

Need: other deployments have up to 350 processes and some hundreds of servers, and a discovery may begin its versions anew.

--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -288,7 +288,14 @@
                         "silent" => ?hub.now.saturating_sub(self.heard), "after rev" => self.rev,
                         "rev" => news.rev);
                 }
-                (self.rev, self.asking, self.heard) = (Some(news.rev), false, hub.now);
+                // It begins its versions anew: a change since ours can't be told, so the whole list is asked for.
+                let back = !news.all && self.rev.is_some_and(|rev| news.rev < rev);
+                if back {
+                    slog::warn!(hub.log, "discovery's versions went back, asking for the whole list";
+                        "after rev" => self.rev, "rev" => news.rev);
+                }
+                self.rev = Some(news.rev).filter(|_| !back);
+                (self.asking, self.heard) = (false, hub.now);
                 self.recall.answered();
                 Some(news)
             }
@@ -308,7 +315,7 @@
             }
         } else if let Some(news) = news.as_ref().filter(|_| self.wanted) {
             // Nothing new and too soon: it does not wait, and is asked at the next tick instead of all the time.
-            if !news.is_empty() || hub.now >= self.asked + self.recall.watch() / 2 {
+            if !news.is_empty() || self.rev.is_none() || hub.now >= self.asked + self.recall.watch() / 2 {
                 self.ask(hub);
             }
         }
@@ -407,9 +414,27 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use super::*;
 
+    /// A whole list of so many servers, every third of them leaving, indented.
+    pub fn indented(servers: usize) -> String {
+        let indent = format!("\n{}", " ".repeat(16));
+        let entry = |n: usize| {
+            format!(
+                r#"{indent}{{{indent}"uid": "s-{n:08x}",{indent}"endpoint": "10.{}.{}.18:6379",{indent}"az": "a",
+                {indent}"model": "m2",{indent}"pod_group": {},{indent}"state": "{}",{indent}"capacity_hint": 1.0,
+                {indent}"boot_ms": 1733100000000{indent}}}"#,
+                n / 256,
+                n % 256,
+                n / 8,
+                if n.is_multiple_of(3) { "leaving" } else { "active" }
+            )
+        };
+        let entries: Vec<String> = (0..servers).map(entry).collect();
+        format!("{{\n  \"rev\": 41,\n  \"all\": true,\n  \"targets\": [{}\n]}}\n", entries.join(","))
+    }
+
     /// What a gateway with little memory takes.
     fn read(bytes: &[u8]) -> Result<Option<(News, usize)>, String> {
         answer(bytes, LIST)
@@ -457,21 +482,7 @@
 
     #[test]
     fn an_indented_list_of_1024_servers_is_read_with_the_least_memory() {
-        let indent = format!("\n{}", " ".repeat(16));
-        let entry = |n: usize| {
-            format!(
-                r#"{indent}{{{indent}"uid": "s-{n:08x}",{indent}"endpoint": "10.{}.{}.18:6379",{indent}"az": "a",
-                {indent}"model": "m2",{indent}"pod_group": {},{indent}"state": "{}",{indent}"capacity_hint": 1.0,
-                {indent}"boot_ms": 1733100000000{indent}}}"#,
-                n / 256,
-                n % 256,
-                n / 8,
-                if n.is_multiple_of(3) { "leaving" } else { "active" }
-            )
-        };
-        let entries: Vec<String> = (0..1024).map(entry).collect();
-        let body =
-            format!("{{\n  \"rev\": 41,\n  \"all\": true,\n  \"targets\": [{}\n]}}\n", entries.join(","));
+        let body = indented(1024);
         for whole in [plain(&body), chunked(&body, 1000), chunked(&body, 7), chunked(&body, 400_000)] {
             let (news, took) = read(whole.as_bytes()).expect("nothing is wrong").expect("all is there");
             let change = news.change();
