--- a/src/control.rs
+++ b/src/control.rs
@@ -342,8 +342,11 @@
         let (owner, period) = (customer.clone(), self.stretch(&customer, PERIOD, self.now).0);
         self.next_id += 1;
         let id = self.next_id;
-        // Calls being scarce, a cap that was not stated goes uncounted: the units' name tells enough.
-        let unasked = rate > 0.0 && !stated && !self.skipping() && !self.may_call(SPARE);
+        // Calls being scarce, a cap that was not stated goes uncounted: the units' name tells enough. So does a
+        // stated one in a thin fleet: two calls for a hold leave none to ask whether the units are there, and
+        // tries beyond the quota are what fills a cap. Harm: a burst within the quota may pass its cap.
+        let asks = stated && self.bears.thin < THIN;
+        let unasked = rate > 0.0 && !asks && !self.skipping() && !self.may_call(SPARE);
         let silent = unasked || !self.may_call(cheap);
         let told = move |c: &mut Control, counted| {
             let now = c.stretch(&owner, PERIOD, c.now).0;
@@ -504,6 +507,8 @@
                 account.store -= fits;
                 account.total = total - back;
                 if !more {
+                    // What a refused add leaves on the counter stands for units that were sent without a word.
+                    c.bears.unsaid = (c.bears.unsaid - (size + extra - back)).max(0.0);
                     let short = (units - account.block - account.store) / rate;
                     let wait = Duration::from_secs_f64(short.clamp(0.01, length.as_secs_f64() * 0.5));
                     account.refused_until = if plenty || !thin { now + wait } else { start + length };
