A stated cap is counted again where the units seen in a window could fill it

Change: in Control::hold the hold goes uncounted only until the units that this gateway has seen in the window's name reach the cap, and its own tries stay under the cap in any case.

--- a/src/control.rs
+++ b/src/control.rs
@@ -342,10 +342,13 @@
         let (owner, period) = (customer.clone(), self.stretch(&customer, PERIOD, self.now).0);
         self.next_id += 1;
         let id = self.next_id;
-        // Calls being scarce, a cap that was not stated goes uncounted: the units' name tells enough. So does a
-        // stated one in a thin fleet: two calls for a hold leave none to ask whether the units are there, and
-        // tries beyond the quota are what fills a cap. Harm: a burst within the quota may pass its cap.
-        let asks = stated && self.bears.thin < THIN;
+        // Calls being scarce, a cap that was not stated goes uncounted: the units' name tells enough. In a
+        // thin fleet a stated one does too, until the units seen in this window could fill it: two calls
+        // for a hold leave none to ask for the units. Harm: others' tries under a cap are seen late.
+        let this = self.stretch(&customer, Duration::from_secs_f64(window), self.now).0;
+        let known = self.accounts.get(&customer).filter(|known| known.window == this);
+        let fills = known.is_some_and(|known| known.total >= cap);
+        let asks = stated && (fills || self.bears.thin < THIN);
         let unasked = rate > 0.0 && !asks && !self.skipping() && !self.may_call(SPARE);
         let silent = unasked || !self.may_call(cheap);
         let told = move |c: &mut Control, counted| {
@@ -367,7 +370,9 @@
                         c.count_in(&owner, renewed, vec![id]);
                     }
                 }
-                _ if !unasked && account.holds.len() as f64 >= share => return next(c, Err(1.0)),
+                _ if account.holds.len() as f64 >= if unasked { cap } else { share } => {
+                    return next(c, Err(1.0));
+                }
                 _ => drop(account.holds.insert(id, Vec::new())),
             }
             next(c, Ok(id));
@@ -507,7 +512,7 @@
                 account.store -= fits;
                 account.total = total - back;
                 if !more {
-                    // What a refused add leaves on the counter stands for units that were sent without a word.
+                    // What a refused add leaves there stands for units that were sent without a word.
                     c.bears.unsaid = (c.bears.unsaid - (size + extra - back)).max(0.0);
                     let short = (units - account.block - account.store) / rate;
                     let wait = Duration::from_secs_f64(short.clamp(0.01, length.as_secs_f64() * 0.5));
