--- a/edge/src/calls.rs
+++ b/edge/src/calls.rs
@@ -33,6 +33,12 @@
     Some(facts.number("counter.units_top")).filter(|top| *top > 0.0).unwrap_or(1e6)
 }
 
+/// The longest client timeout of any route; a client says less at most times.
+pub fn longest_timeout(facts: &Facts) -> Duration {
+    let names = facts.0.keys().filter(|name| name.ends_with(".client_timeout"));
+    names.map(|name| facts.span(name)).max().unwrap_or_default()
+}
+
 /// A number in 16 hex digits.
 fn hex(word: &[u8]) -> Option<u64> {
     let digits = word.len() == 16 && word.iter().all(u8::is_ascii_hexdigit);
--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -59,8 +59,7 @@
     pub fn listen(hub: &mut Hub, at: SocketAddr) -> io::Result<Clients> {
         let mut listener = TcpListener::bind(at)?;
         hub.registry.register(&mut listener, Side::Listener.token(0), Interest::READABLE)?;
-        let names = hub.facts.0.keys().filter(|name| name.ends_with(".client_timeout"));
-        let longest_wait = names.map(|name| hub.facts.span(name)).max().unwrap_or_default();
+        let longest_wait = calls::longest_timeout(&hub.facts);
         let connections = Slab::new();
         let (waiting, room, ready, resume) = (false, false, false, vec![]);
         Ok(Clients { listener, connections, waiting, room, resume, ready, longest_wait })
--- a/edge/src/leaving.rs
+++ b/edge/src/leaving.rs
@@ -1,6 +1,7 @@
 //! The end of a gateway that was told to stop: until when it may go on as before, and by when everything that it has
 //! taken must be answered, since it is killed then.
 
+use crate::calls::longest_timeout;
 use std::time::Duration;
 use wellcrank::port::Facts;
 
@@ -21,11 +22,9 @@
 impl Leaving {
     /// Told to stop at `now`.
     pub fn new(now: Duration, facts: &Facts) -> Leaving {
-        let names = facts.0.keys().filter(|name| name.ends_with(".client_timeout"));
-        let longest = names.map(|name| facts.span(name)).max().unwrap_or_default();
         Leaving {
             closes: now + facts.span("limits.connect_timeout") * 2,
-            answers: now + longest.min(LONGEST) + (MORE - SOONER),
+            answers: now + longest_timeout(facts).min(LONGEST) + (MORE - SOONER),
         }
     }
 }
