Whether a cap could be filled is looked up only where it matters

Need: Control::hold hashed the customer's window and looked up its account at every API call, also where no cap is stated and in fleets that are not thin. Change: a closure, asked only for a stated cap in a thin fleet; the comment on LATEST in fleet/src/recall.rs says what it bounds.

--- a/fleet/src/recall.rs
+++ b/fleet/src/recall.rs
@@ -17,7 +17,7 @@
     Refused,
 }
 
-/// Calls a connection or a call that is not answered may be late by, in connection time-outs.
+/// How late the answer to a watch may be after its wait, in connection time-outs; a whole list may take four times that.
 const LATEST: u32 = 4;
 
 /// What the waits follow from.
--- a/src/control.rs
+++ b/src/control.rs
@@ -345,10 +345,11 @@
         // Calls being scarce, a cap that was not stated goes uncounted: the units' name tells enough. In a
         // thin fleet a stated one does too, until the units seen in this window could fill it: two calls
         // for a hold leave none to ask for the units. Harm: others' tries under a cap are seen late.
-        let this = self.stretch(&customer, Duration::from_secs_f64(window), self.now).0;
-        let known = self.accounts.get(&customer).filter(|known| known.window == this);
-        let fills = known.is_some_and(|known| known.total >= cap);
-        let asks = stated && (fills || self.bears.thin < THIN);
+        let fills = |known: &Account| {
+            let this = self.stretch(&customer, Duration::from_secs_f64(window), self.now).0;
+            known.window == this && known.total >= cap
+        };
+        let asks = stated && (self.bears.thin < THIN || self.accounts.get(&customer).is_some_and(fills));
         let unasked = rate > 0.0 && !asks && !self.skipping() && !self.may_call(SPARE);
         let silent = unasked || !self.may_call(cheap);
         let told = move |c: &mut Control, counted| {
