--- a/edge/src/leaving.rs
+++ b/edge/src/leaving.rs
@@ -29,17 +29,5 @@
     }
 }
 
-#[test]
-fn all_is_answered_before_the_platform_kills() {
-    let facts = |spans: &[f64]| {
-        let mut facts = Facts::default();
-        for (place, span) in spans.iter().enumerate() {
-            let name = format!("routes.r{place}.client_timeout");
-            facts.0.insert(name, wellcrank::port::Fact::Number(*span));
-        }
-        facts
-    };
-    let (start, ms) = (Duration::from_secs(9), Duration::from_millis);
-    assert_eq!(Leaving::new(start, &facts(&[0.6, 0.4])).answers, start + ms(1100));
-    assert_eq!(Leaving::new(start, &facts(&[0.6, 20.0])).answers, start + ms(3500));
-}
+#[cfg(test)]
+mod tests;
--- a/edge/src/resp.rs
+++ b/edge/src/resp.rs
@@ -124,43 +124,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use nanorand::{Rng, WyRand};
-
-    const COMMAND: &[u8] = b"*3\r\n$3\r\nGET\r\n$0\r\n\r\n$4\r\n\r\n$1\r\n";
-    const REPLY: &[u8] = b"*3\r\n$5\r\nhello\r\n$14\r\nused=37,cost=4\r\n$-1\r\n";
-
-    #[test]
-    fn messages_are_taken_whole_or_not_at_all() {
-        for end in 0..COMMAND.len() {
-            assert_eq!(command(&COMMAND[..end]), Ok(None));
-        }
-        assert_eq!(command(COMMAND), Ok(Some((vec![8..11, 17..17, 23..27], COMMAND.len()))));
-        for end in 0..REPLY.len() {
-            assert_eq!(reply(&REPLY[..end]), Ok(None));
-        }
-        let value = Reply::Value { value: b"hello", figures: "used=37,cost=4", load: "" };
-        assert_eq!(reply(REPLY), Ok(Some((value, REPLY.len()))));
-        assert_eq!(reply(b"-BUSY util=0.61\r\n"), Ok(Some((Reply::Busy { load: "util=0.61" }, 17))));
-        let failed = Reply::Failed { text: "ERR failed", load: "" };
-        assert_eq!(reply(b"-ERR failed\r\n"), Ok(Some((failed, 13))));
-    }
-
-    #[test]
-    fn whatever_comes_is_taken_or_refused() {
-        let mut rng = WyRand::new_seed(7);
-        for _ in 0..100_000 {
-            let mut bytes = if rng.generate() { COMMAND } else { REPLY }.to_vec();
-            for _ in 0..rng.generate_range(1..4) {
-                let place = rng.generate_range(0..bytes.len());
-                bytes[place] = b"*$-+0159\r\n\xff"[rng.generate_range(0..11)];
-            }
-            for took in
-                [command(&bytes).map(|it| it.map(|it| it.1)), reply(&bytes).map(|it| it.map(|it| it.1))]
-            {
-                assert!(took.is_err() || took.is_ok_and(|took| took.is_none_or(|took| took <= bytes.len())));
-            }
-        }
-    }
-}
+mod tests;
