Sends are checked again before their first byte; a client that left is seen at once

Rules were checked when a send was decided, and a connection that comes up late puts up to 1.5 s between that and the first byte. Lines at fault: pool.rs flush (wrote whatever was decided), turn.rs (an Arrived whose client had left in the same turn was decided), control.rs cancel (does nothing where cancelling is off, also for a try that has not begun), clients.rs ready (a held up or closing connection was not read, so its end was never seen).

Pool::flush is the one place where a command begins: client still there, time left, server ready and in the same life, and whole_by not passed, which the decisions now say with each send (the key window's end, less two resolutions); half a command is ended at whole_by. What lapses ends as NotSent: hold and units go back where no try came to a server. A repeat goes by the zone or cell that the first server had then. Effects that have a name we don't know count as non-idempotent. PING is answered while API calls are held up.

The runner plays four files at a time, each on its own loopback address; it chose the node's port before the stand-ins had theirs, which failed one run in twelve ('Address already in use').

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -104,7 +104,7 @@
 }
 
 impl Port for Reply {
-    fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration) {
+    fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration, _: Duration) {
         self.act("transmit", json!({"txn": &*call.0, "server": &*server.0, "timeout_ns": nanos(timeout)}));
     }
     fn cancel(&mut self, call: &CallId, number: TryNumber) {
--- a/edge/src/calls.rs
+++ b/edge/src/calls.rs
@@ -53,6 +53,12 @@
 }
 
 impl Asked {
+    /// Whether a command is that of an API call, whatever else it says.
+    pub fn is_named(bytes: &[u8], words: &Words) -> bool {
+        let name = words.first().map_or(&[][..], |word| &bytes[word.clone()]);
+        [&b"SVC.QUERY"[..], b"SVC.SUBMIT"].iter().any(|known| name.eq_ignore_ascii_case(known))
+    }
+
     /// Checks the words of an API call, the one place where that is done: which route, whose, for how long.
     /// Says what is wrong.
     pub fn new(bytes: &[u8], words: Words, facts: &Facts, calls: &Calls) -> Result<Asked, &'static str> {
@@ -156,6 +162,15 @@
     pub place: Place,
     /// The client has its answer; the decisions are to be told yet.
     pub answered: bool,
+    /// The client has gone; the decisions are to be told yet.
+    pub left: bool,
+}
+
+impl Open {
+    /// Still owed its one final answer, by a client that is there.
+    pub fn wanted(&self) -> bool {
+        !self.answered && !self.left
+    }
 }
 
 #[derive(Default)]
@@ -194,12 +209,19 @@
 
     /// Still owed its one final answer.
     pub fn is_open(&self, call: &CallId) -> bool {
-        self.open.get(&serial(call)).is_some_and(|open| !open.answered)
+        self.open.get(&serial(call)).is_some_and(Open::wanted)
+    }
+
+    /// Its client has gone: from now on nothing is begun for it. Says which it is, if it was still owed an answer.
+    pub fn left(&mut self, serial: Serial) -> Option<CallId> {
+        let open = self.open.get_mut(&serial).filter(|open| open.wanted())?;
+        open.left = true;
+        Some(id(serial))
     }
 
     /// All that are still owed theirs.
     pub fn unanswered(&self) -> impl Iterator<Item = CallId> + '_ {
-        self.open.iter().filter(|(_, open)| !open.answered).map(|(serial, _)| id(*serial))
+        self.open.iter().filter(|(_, open)| open.wanted()).map(|(serial, _)| id(*serial))
     }
 
     pub fn remove(&mut self, call: &CallId) -> Option<Open> {
--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -126,6 +126,10 @@
 
     pub fn ready(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
         let Some(client) = self.connections.get_mut(key) else { return };
+        // Its end is told once. One that is not read any further must not be missed: its client has gone.
+        if hub.ending && (client.held_up || client.closing) {
+            return self.close(hub, key, calls);
+        }
         client.pipe.drained = false;
         if client.pipe.left() > 0 {
             self.flush(hub, key, calls);
@@ -169,7 +173,8 @@
                     // Each open API call may yet bring a whole value.
                     let crowded = hub.held + calls.len() * resp::VALUE > hub.budget.bytes;
                     let full = crowded || (most > 0 && calls.len() >= most);
-                    client.held_up = full || client.pipe.left() > resp::WHOLE;
+                    let opens = Asked::is_named(bytes, &words);
+                    client.held_up = (full && opens) || client.pipe.left() > resp::WHOLE;
                     if client.held_up {
                         break;
                     }
@@ -218,7 +223,7 @@
         let Some(client) = self.connections.try_remove(key) else { return };
         for slot in client.slots {
             hub.freed(slot.answer.map_or(0, |answer| answer.len()));
-            if let Some(call) = slot.call.map(calls::id).filter(|call| calls.is_open(call)) {
+            if let Some(call) = slot.call.and_then(|call| calls.left(call)) {
                 hub.news.push_back(News::Gone(call));
             }
         }
@@ -344,7 +349,7 @@
         let number = self.slot();
         let word = |place: usize| words.get(place).map_or(&[][..], |word| &bytes[word.clone()]);
         let said = match word(0).to_ascii_uppercase().as_slice() {
-            b"SVC.QUERY" | b"SVC.SUBMIT" => match Asked::new(bytes, words, &hub.facts, calls) {
+            _ if Asked::is_named(bytes, &words) => match Asked::new(bytes, words, &hub.facts, calls) {
                 Ok(asked) => return self.call(hub, key, number, asked, calls),
                 Err(why) => format!("-ERR {why}\r\n"),
             },
@@ -376,7 +381,7 @@
         let place = Place { key, connection: self.connection, number };
         self.slots.back_mut().expect("pushed for this command").call = Some(serial);
         hub.held += asked.size();
-        calls.open(serial, Open { asked, until, tries: 0, place, answered: false });
+        calls.open(serial, Open { asked, until, tries: 0, place, answered: false, left: false });
         hub.news.push_back(News::Arrived(arrival));
     }
 
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -23,6 +23,8 @@
     number: TryNumber,
     sent: Duration,
     until: Duration,
+    /// The command must have gone out whole by then.
+    whole_by: Duration,
     due: DueId,
     begun: bool,
     whole: bool,
@@ -136,7 +138,7 @@
         hub: &mut Hub,
         (call, number): (&CallId, TryNumber),
         server: &ServerId,
-        until: Duration,
+        (until, whole_by): (Duration, Duration),
         asked: &Asked,
     ) {
         let now = hub.now;
@@ -169,10 +171,12 @@
         must!(hub, upstream.job.is_none(), "one upstream try on a connection");
         upstream.pipe.put(hub, |out| asked.put(out, until.saturating_sub(now)));
         let coming_up = if upstream.pipe.up { until } else { now + hub.facts.span("limits.connect_timeout") };
-        let due = hub.at(until.min(coming_up), Due::Try { key, connection: upstream.connection });
+        let due =
+            hub.at(until.min(whole_by).min(coming_up), Due::Try { key, connection: upstream.connection });
         let (call, sent) = (call.clone(), now);
         self.out.insert((call.clone(), number), key);
-        upstream.job = Some(Job { call, number, sent, until, due, begun: false, whole: false, part: false });
+        let (begun, whole, part) = (false, false, false);
+        upstream.job = Some(Job { call, number, sent, until, whole_by, due, begun, whole, part });
     }
 
     /// The connection to a server that was idle for the shortest time. One on which anything has come since its
@@ -201,25 +205,31 @@
     /// Gives an upstream try up, by closing its connection.
     pub fn cancel(&mut self, hub: &mut Hub, call: &CallId, number: TryNumber) {
         if let Some(key) = self.out.get(&(call.clone(), number)).copied() {
-            self.end(hub, key, Outcome::Cancelled);
+            let begun = self.connections[key].job.as_ref().is_some_and(|job| job.begun);
+            self.end(hub, key, if begun { Outcome::Cancelled } else { Outcome::NotSent });
         }
     }
 
-    /// The time of a try, or the time to connect for it, is up.
+    /// The time of a try is up, or that to connect for it, or that for its command to go out.
     pub fn due(&mut self, hub: &mut Hub, key: usize, connection: Serial) {
         let now = hub.now;
         let Some(upstream) = self.connections.get_mut(key).filter(|it| it.connection == connection) else {
             return;
         };
         let Some(job) = &mut upstream.job else { return };
-        if upstream.pipe.up && now < job.until {
+        let until = if job.whole { job.until } else { job.until.min(job.whole_by) };
+        if upstream.pipe.up && now < until {
             if job.part {
                 return self.spoilt(hub, key);
             }
-            job.due = hub.at(job.until, Due::Try { key, connection });
+            job.due = hub.at(until, Due::Try { key, connection });
             return;
         }
-        let outcome = if job.whole { Outcome::TimedOut } else { Outcome::NoConnection };
+        let outcome = match (job.whole, upstream.pipe.up && !job.begun) {
+            (true, _) => Outcome::TimedOut,
+            (_, true) => Outcome::NotSent,
+            _ => Outcome::NoConnection,
+        };
         self.end(hub, key, outcome);
     }
 
@@ -236,7 +246,7 @@
             if upstream.pipe.opened().is_err() {
                 return self.fail(hub, key);
             }
-            self.flush(hub, key);
+            self.flush(hub, key, calls);
         }
         let Some(upstream) = self.connections.get_mut(key) else { return };
         if event.is_readable() || event.is_read_closed() || event.is_error() {
@@ -314,8 +324,23 @@
         }
     }
 
-    pub fn flush(&mut self, hub: &mut Hub, key: usize) {
+    /// Writes what it can of a command. The one place where one begins, perhaps long after it was decided, since its
+    /// connection had to come up: the terms under which it was decided must hold still.
+    pub fn flush(&mut self, hub: &mut Hub, key: usize, calls: &Calls) {
         let Some(upstream) = self.connections.get_mut(key) else { return };
+        let lapsed = match &upstream.job {
+            Some(job) if !job.begun => {
+                let known = self.known.get(&upstream.server);
+                !calls.is_open(&job.call)
+                    || hub.now >= job.until.min(job.whole_by)
+                    || known.is_none_or(|known| !known.ready || known.life != upstream.life)
+            }
+            _ => false,
+        };
+        if lapsed {
+            hub.tally.lapsed += 1;
+            return self.end(hub, key, Outcome::NotSent);
+        }
         match upstream.pipe.flush(hub) {
             Ok(moved) => {
                 let left = upstream.pipe.left();
--- a/edge/src/tally.rs
+++ b/edge/src/tally.rs
@@ -13,6 +13,8 @@
     pub gone: u64,
     /// Answers of app servers that could not be read.
     pub spoilt: u64,
+    /// Tries that were decided and not begun, as their terms lapsed before the first byte.
+    pub lapsed: u64,
     tries: BTreeMap<&'static str, u64>,
 }
 
@@ -33,9 +35,9 @@
 
     /// Logs what was counted, beside how things stand now, and begins anew.
     pub fn report(&mut self, log: &Logger, open: usize, clients: usize, upstream: usize, held: usize) {
-        let Tally { calls, proxied, limited, errored, gone, spoilt, tries } = std::mem::take(self);
+        let Tally { calls, proxied, limited, errored, gone, spoilt, lapsed, tries } = std::mem::take(self);
         slog::info!(log, "minute"; "calls" => calls, "proxied" => proxied, "limited" => limited,
-            "errored" => errored, "gone" => gone, "spoilt" => spoilt, "open" => open, "clients" => clients,
+            "errored" => errored, "gone" => gone, "spoilt" => spoilt, "lapsed" => lapsed, "open" => open, "clients" => clients,
             "upstream" => upstream, "held" => held, "tries" => ?tries);
     }
 }
--- a/edge/src/turn.rs
+++ b/edge/src/turn.rs
@@ -211,9 +211,12 @@
         };
         control.tell_time(now);
         match news {
+            // Its client may have left in the same turn: nothing is begun for it.
             News::Arrived(arrival) => {
                 world.borrow_mut().hub.tally.calls += 1;
-                control.arrived(arrival);
+                if world.borrow().calls.is_open(&arrival.call) {
+                    control.arrived(arrival);
+                }
             }
             News::Gone(call) => {
                 world.borrow_mut().left(&call);
@@ -240,8 +243,8 @@
 pub struct Hands(pub Rc<RefCell<World>>);
 
 impl Port for Hands {
-    fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration) {
-        self.0.borrow_mut().send(call, server, timeout);
+    fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration, whole_by: Duration) {
+        self.0.borrow_mut().send(call, server, timeout, whole_by);
     }
     fn cancel(&mut self, call: &CallId, number: TryNumber) {
         let World { hub, pool, .. } = &mut *self.0.borrow_mut();
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -141,7 +141,7 @@
         for token in std::mem::take(&mut hub.written) {
             match Side::of(token) {
                 (Side::Client, key) => clients.flush(hub, key, calls),
-                (Side::Upstream, key) => pool.flush(hub, key),
+                (Side::Upstream, key) => pool.flush(hub, key, calls),
                 (Side::Counter, key) => self.counter.flush(hub, key),
                 (_, key) => self.discovery.flush(hub, key),
             }
@@ -153,22 +153,22 @@
     }
 
     /// Sends an API call on, if it is still open and has a try and time left.
-    pub fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration) {
+    pub fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration, whole_by: Duration) {
         let World { hub, calls, pool, .. } = self;
         let (now, most) = (hub.now, hub.facts.number("limits.max_attempts") as u32);
         let Some(open) = calls.get(call) else { return };
         let number = TryNumber(open.tries);
         open.tries += 1;
         let until = if timeout.is_zero() { open.until } else { open.until.min(now + timeout) };
-        if open.answered || until <= now || (most > 0 && number.0 >= most) {
+        if !open.wanted() || until <= now || (most > 0 && number.0 >= most) {
             return pool.not_sent(hub, call, number);
         }
-        pool.send(hub, (call, number), server, until, &open.asked);
+        pool.send(hub, (call, number), server, (until, whole_by), &open.asked);
     }
 
     /// The one final answer that the decisions give.
     pub fn answer(&mut self, call: &CallId, write: impl FnOnce(&mut Vec<u8>)) {
-        let place = self.calls.get(call).filter(|open| !open.answered).map(|open| open.place);
+        let place = self.calls.get(call).filter(|open| open.wanted()).map(|open| open.place);
         self.forget(call);
         if let Some(place) = place {
             self.clients.answer(&mut self.hub, place, write);
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -4,9 +4,15 @@
 //! ```text
 //! limits 64 40                    memory in MB and sockets, before the node starts (else 192 and 1024)
 //! server a b                      app servers that listen, at a new address each time; 'refuse a' stops one
-//! setting rules.ask_within_ns 1e9  a number in the settings that the node gets, before it starts
+//! setting rules.ask_within_ns 1e9  a number or a flag in the settings that the node gets, before it starts
+//! late a                          connections to a no longer come up, as if all of them waited in its queue
+//! coming a                        a connection of the node to a is coming up
+//! up a                            connections to a come up from now on, those that are coming up too
+//! unsaid a                        a connection of the node to a has ended with no command on it
+//! paused; resumed                 the node stands still; it goes on, and meets at once all that has happened
+//! met                             the node has met all that happened before
 //! node                            starts the node, which knows the servers so far
-//! list a! b- c                    discovery tells: a drains, b is gone, c is there
+//! list a! b- c d@9                discovery tells: a drains, b is gone, c is there, d started anew at 9 ms of Unix time
 //! ask c1 r1 read capped 9000 [N]  client c1 sends API call r1: route, plan, milliseconds to wait, size of a body
 //! raw c1 *1\r\n$4\r\nPING\r\n       client c1 sends these bytes
 //! connect c1                      client c1 connects, as any other step with its name has it do
@@ -41,12 +47,13 @@
 #[path = "../../tests/plays/mod.rs"]
 mod plays;
 
+use socket2::{Domain, Socket, Type};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
@@ -57,21 +64,49 @@
 /// At an app server: a command's id came on a connection, or the connection with that number ended.
 enum Seen {
     Command { server: String, id: String, connection: usize },
-    End(usize),
+    End { connection: usize, server: String, unsaid: bool },
+}
+
+/// A loopback address for each stage: what one asks for at a port that was given back reaches no other.
+struct Host(Ipv4Addr);
+
+impl Default for Host {
+    fn default() -> Self {
+        static LAST: AtomicU8 = AtomicU8::new(0);
+        Host(Ipv4Addr::new(127, 1, 0, LAST.fetch_add(1, Ordering::Relaxed) + 1))
+    }
+}
+
+impl Host {
+    fn free(&self) -> TcpListener {
+        TcpListener::bind((self.0, 0)).expect("a free port")
+    }
 }
 
 /// Listens on a free port and hands each connection to a thread of its own.
-fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> (String, Arc<AtomicBool>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+fn listen(host: &Host, serve: impl Fn(TcpStream) + Send + Sync + 'static) -> (String, Arc<AtomicBool>) {
+    let listener = host.free();
     let (at, on) = (listener.local_addr().unwrap().to_string(), Arc::new(AtomicBool::new(true)));
-    let (still, serve) = (on.clone(), Arc::new(serve));
+    accept(listener, on.clone(), serve);
+    (at, on)
+}
+
+fn accept(listener: TcpListener, on: Arc<AtomicBool>, serve: impl Fn(TcpStream) + Send + Sync + 'static) {
+    let serve = Arc::new(serve);
     spawn(move || {
-        for socket in listener.incoming().take_while(|_| still.load(Ordering::SeqCst)) {
+        for socket in listener.incoming().take_while(|_| on.load(Ordering::SeqCst)) {
             let serve = serve.clone();
             spawn(move || serve(socket.expect("a connection")));
         }
     });
-    (at, on)
+}
+
+/// Connections that fill a listener's queue: as long as nobody accepts, the system drops what asks for another one,
+/// and asks again a second later.
+fn fill(at: &str) -> Vec<TcpStream> {
+    let at = at.parse().expect("an address");
+    let more = || TcpStream::connect_timeout(&at, Duration::from_millis(100)).ok();
+    std::iter::from_fn(more).take(8).collect()
 }
 
 /// Reads a line without its end; none where the other side has ended.
@@ -96,7 +131,7 @@
     open: Vec<TcpStream>,
 }
 
-fn counter(state: Arc<Mutex<Counter>>) -> (String, Arc<AtomicBool>) {
+fn counter(host: &Host, state: Arc<Mutex<Counter>>) -> (String, Arc<AtomicBool>) {
     let serve = move |socket: TcpStream| {
         let mut out = socket.try_clone().unwrap();
         state.lock().unwrap().open.push(socket.try_clone().unwrap());
@@ -131,7 +166,7 @@
             let _ = out.write_all(format!("{said}\r\n").as_bytes());
         }
     };
-    listen(serve)
+    listen(host, serve)
 }
 
 /// Version and entries of the server list.
@@ -162,6 +197,7 @@
 }
 
 fn discovery(
+    host: &Host,
     list: List,
     open: Arc<Mutex<Vec<TcpStream>>>,
     asked: Arc<Mutex<Asked>>,
@@ -205,7 +241,7 @@
             let _ = write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         }
     };
-    listen(serve)
+    listen(host, serve)
 }
 
 /// The bytes that a step names behind its second word.
@@ -220,12 +256,15 @@
 struct Server {
     at: String,
     on: Arc<AtomicBool>,
+    /// Nobody accepts yet, and the queue is full.
+    late: Option<(TcpListener, Vec<TcpStream>)>,
 }
 
 #[derive(Default)]
 struct Stage {
+    host: Host,
     limits: Option<(usize, usize)>,
-    settings: Vec<(String, f64)>,
+    settings: Vec<(String, serde_json::Value)>,
     servers: BTreeMap<String, Server>,
     list: List,
     counter: Arc<Mutex<Counter>>,
@@ -240,22 +279,26 @@
     /// What was seen at app servers and not asked for yet; connections that ended; where each call came.
     line: VecDeque<(String, String, usize)>,
     ended: Vec<usize>,
+    /// App servers at which a connection ended with no command on it, and was not asked for yet.
+    unsaid: Vec<String>,
     came: BTreeMap<String, usize>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
     clients: BTreeMap<String, BufReader<TcpStream>>,
 }
 
 impl Stage {
-    fn server(&mut self, name: &str) {
+    /// What an app server does with a connection.
+    fn serve(&mut self, name: &str) -> impl Fn(TcpStream) + Send + Sync + 'static {
         let (sender, streams) = (self.seen.get_or_insert_with(channel).0.clone(), self.streams.clone());
         let server = name.to_string();
-        let serve = move |socket: TcpStream| {
+        move |socket: TcpStream| {
             let connection = {
                 let mut streams = streams.lock().unwrap();
                 streams.push(socket.try_clone().unwrap());
                 streams.len() - 1
             };
             let mut input = BufReader::new(socket);
+            let mut unsaid = true;
             loop {
                 let words = line(&mut input).and_then(|head| {
                     let count = head.strip_prefix('*')?.parse().ok()?;
@@ -263,30 +306,56 @@
                 });
                 let Some(words) = words else { break };
                 let words: Vec<String> = words;
+                unsaid = false;
                 let (server, id) = (server.clone(), words[2].trim_start_matches('0').to_string());
                 assert!(words[3].contains("d="), "the list tells how long the node waits");
                 let _ = sender.send(Seen::Command { server, id, connection });
             }
-            let _ = sender.send(Seen::End(connection));
+            let _ = sender.send(Seen::End { connection, server: server.clone(), unsaid });
+        }
+    }
+
+    fn server(&mut self, name: &str) {
+        let (at, on) = {
+            let serve = self.serve(name);
+            listen(&self.host, serve)
         };
-        let (at, on) = listen(serve);
-        self.tell(name, &at, "active");
-        self.servers.insert(name.to_string(), Server { at, on });
+        self.tell(name, &at, "active", "0");
+        self.servers.insert(name.to_string(), Server { at, on, late: None });
     }
 
-    fn tell(&mut self, name: &str, at: &str, state: &str) {
+    /// An app server to which no connection comes up yet.
+    fn late(&mut self, name: &str) {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let free = SocketAddr::from((self.host.0, 0));
+        socket.bind(&free.into()).and_then(|()| socket.listen(0)).expect("a free port");
+        let listener: TcpListener = socket.into();
+        let at = listener.local_addr().unwrap().to_string();
+        let (late, on) = (Some((listener, fill(&at))), Arc::new(AtomicBool::new(true)));
+        self.tell(name, &at, "active", "0");
+        self.servers.insert(name.to_string(), Server { at, on, late });
+    }
+
+    fn up(&mut self, name: &str) {
+        let (listener, fill) =
+            self.servers.get_mut(name).and_then(|server| server.late.take()).expect("late before");
+        for _ in fill {
+            listener.accept().expect("what fills the queue");
+        }
+        let (on, serve) = (self.servers[name].on.clone(), self.serve(name));
+        accept(listener, on, serve);
+    }
+
+    fn tell(&mut self, name: &str, at: &str, state: &str, started: &str) {
         let mut list = self.list.lock().unwrap();
         let entry = format!(
             "{{\"uid\":\"{name}\",\"endpoint\":\"{at}\",\"az\":\"z\",\"model\":\"m\",\"pod_group\":0,\
-             \"state\":\"{state}\",\"capacity_hint\":1.0,\"boot_ms\":0}}"
+             \"state\":\"{state}\",\"capacity_hint\":1.0,\"boot_ms\":{started}}}"
         );
         (list.0, _) = (list.0 + 1, list.1.insert(name.to_string(), entry));
     }
 
     fn start(&mut self, scenario: &str) {
-        let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        self.at = free.local_addr().unwrap().to_string();
-        drop(free);
         self.file = std::env::temp_dir().join(format!("wellcrank-{}-{scenario}.json", std::process::id()));
         self.write();
         let mut node = Command::new(env!("CARGO_BIN_EXE_wellcrank-edge"));
@@ -300,13 +369,17 @@
     fn write(&mut self) {
         let (memory, sockets) = self.limits.unwrap_or((192, 1024));
         self.named = vec![
-            discovery(self.list.clone(), self.watches.clone(), self.asked.clone()),
-            counter(self.counter.clone()),
+            discovery(&self.host, self.list.clone(), self.watches.clone(), self.asked.clone()),
+            counter(&self.host, self.counter.clone()),
         ];
+        // Chosen behind the stand-ins: the system may give one of them a port that was free a moment ago.
+        if self.at.is_empty() {
+            self.at = self.host.free().local_addr().unwrap().to_string();
+        }
         let settings = include_str!("scenarios/settings.json");
         let mut settings: serde_json::Value = serde_json::from_str(settings).expect("settings");
         for (name, value) in &self.settings {
-            *settings.pointer_mut(&name.replace('.', "/")).expect("a setting") = (*value).into();
+            *settings.pointer_mut(&name.replace('.', "/")).expect("a setting") = value.clone();
         }
         let config = format!(
             "{{\"name\":\"n0\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"7\",\"counter\":\"{}\",\
@@ -342,7 +415,10 @@
         for seen in self.seen.get_or_insert_with(channel).1.try_iter() {
             match seen {
                 Seen::Command { server, id, connection } => self.line.push_back((server, id, connection)),
-                Seen::End(connection) => self.ended.push(connection),
+                Seen::End { connection, server, unsaid } => {
+                    self.ended.push(connection);
+                    self.unsaid.extend(unsaid.then_some(server));
+                }
             }
         }
     }
@@ -363,6 +439,40 @@
                 self.limits = Some((memory.parse().unwrap(), sockets.parse().unwrap()))
             }
             ["server", ref names @ ..] => names.iter().for_each(|name| self.server(name)),
+            ["late", name] => self.late(name),
+            ["coming", name] => {
+                let at: SocketAddr = self.servers[name].at.parse().unwrap();
+                // The system's table of connections: the other side's address, and 02 where it was asked for.
+                let line = format!("{:08X}:{:04X} 02 ", u32::from(self.host.0).swap_bytes(), at.port());
+                self.until(|_| {
+                    std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&line).then_some(())
+                });
+            }
+            ["up", name] => self.up(name),
+            ["unsaid", name] => {
+                self.until(|stage| {
+                    stage.look();
+                    let place = stage.unsaid.iter().position(|server| server == name)?;
+                    Some(stage.unsaid.remove(place))
+                });
+            }
+            ["paused"] => {
+                self.signal("-STOP");
+                let id = self.node.as_ref().expect("a node").id();
+                self.until(|_| {
+                    let state = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap();
+                    state.rsplit(')').next().unwrap().trim_start().starts_with('T').then_some(())
+                });
+            }
+            ["resumed"] => self.signal("-CONT"),
+            // What happened before reaches the node no later than this.
+            ["met"] => {
+                let mut socket = TcpStream::connect(&self.at).expect("the node accepts");
+                socket.set_read_timeout(Some(PATIENCE)).unwrap();
+                socket.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+                let said = line(&mut BufReader::new(socket)).expect("an answer");
+                assert_eq!(said, "+PONG");
+            }
             ["refuse", name] => {
                 self.servers[name].on.store(false, Ordering::SeqCst);
                 // The listener looks when somebody comes, and is dropped.
@@ -376,9 +486,10 @@
                         Some('-') => "left",
                         _ => "active",
                     };
-                    let name = name.trim_end_matches(['!', '-']);
+                    let (name, started) =
+                        name.split_once('@').unwrap_or((name.trim_end_matches(['!', '-']), "0"));
                     let at = self.servers[name].at.clone();
-                    self.tell(name, &at, state);
+                    self.tell(name, &at, state, started);
                 }
             }
             ["ask", client, id, route, plan, wait, ref size @ ..] => {
@@ -457,7 +568,7 @@
                 counter.sums.last().is_some_and(|(_, sum)| *sum == 0.0).then_some(())
             }),
             ["setting", name, value] => {
-                self.settings.push((format!("/{name}"), value.parse().expect("a number")));
+                self.settings.push((format!("/{name}"), value.parse().expect("a number or a flag")));
             }
             ["discovery", "says", ..] => {
                 self.asked.lock().unwrap().says.push_back(unescaped(step));
@@ -540,7 +651,9 @@
             let _ = node.kill();
             let _ = node.wait();
             let _ = std::fs::remove_file(&self.file);
-            let _ = std::fs::remove_file(self.file.with_extension("log"));
+            if std::env::var("KEEP_LOGS").is_err() {
+                let _ = std::fs::remove_file(self.file.with_extension("log"));
+            }
         }
     }
 }
--- a/lab/src/minds.rs
+++ b/lab/src/minds.rs
@@ -58,7 +58,7 @@
 }
 
 impl Port for Hands {
-    fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration) {
+    fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration, _: Duration) {
         self.does(Deed::Send(call.clone(), server.clone(), timeout));
     }
     fn cancel(&mut self, call: &CallId, number: TryNumber) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -172,7 +172,7 @@
         self.bears.value += (self.value(&arrival) - self.bears.value) * 0.05;
         self.fleet.further = (self.fleet.further + TRY_SHARE).min(10.0);
         let (call, timed, customer) = (arrival.call.clone(), arrival.call.clone(), arrival.customer.clone());
-        let last = arrival.until.saturating_sub(self.facts.span("resolution") * 2).max(now);
+        let last = arrival.until.saturating_sub(self.leeway()).max(now);
         self.calls.insert(call.clone(), Call::new(arrival, now, self.skipping()));
         if spent || self.crowded(&call) {
             return self.answer(&call, 1.0);
@@ -213,9 +213,7 @@
     }
 
     pub fn gone(&mut self, call: &CallId) {
-        if let Some(left) = self.calls.remove(call) {
-            self.cancel(call, &left);
-        }
+        self.finish(call);
     }
 
     /// Its time is up sooner than it was told: it is answered now.
@@ -611,16 +609,17 @@
         let left = self.patience(asked);
         let (repeat, group) = (self.facts.said(&route, "repeat"), self.facts.said(&route, "group"));
         let memory = Duration::from_secs_f64(self.facts.route(&route, "memory_span"));
-        let harmless = |server: &Server| match (&asked.ran, repeat) {
-            (None, _) | (_, "idempotent") => true,
-            (Some((when, first)), "tokened") if *when + memory > self.now + self.facts.span("resolution") => {
-                group == "all"
-                    || self.servers.get(first).is_some_and(|first| match group {
-                        "zone" => first.listed.zone == server.listed.zone,
-                        _ => first.listed.cell == server.listed.cell,
-                    })
-            }
-            _ => false,
+        // A repeat has to reach a server that knows the first by its token while that is remembered.
+        let (whole_by, first) = match (&asked.ran, repeat) {
+            (None, _) | (_, "idempotent") => (Duration::MAX, None),
+            (Some(ran), "tokened") => ((ran.at + memory).saturating_sub(self.leeway()), Some(ran)),
+            _ => (Duration::ZERO, None),
+        };
+        let harmless = |server: &Server| match (first, group) {
+            _ if whole_by <= self.now => false,
+            (None, _) | (_, "all") => true,
+            (Some(ran), "zone") => ran.zone == server.listed.zone,
+            (Some(ran), _) => ran.cell == server.listed.cell,
         };
         let able = |at: &Server| at.listed.phase == Phase::Ready && harmless(at) && self.has_room(at);
         let drawn = self.draw(&mut rng, &able, asked.last.as_ref());
@@ -634,20 +633,27 @@
         let (now, at) = (self.now, drawn.expect("else barred"));
         let server = self.servers.get_mut(&at).expect("chosen from the list");
         self.rng = rng;
+        let sent = Sent { at: now, zone: server.listed.zone.clone(), cell: server.listed.cell };
         (server.open, self.fleet.open) = (server.open + 1, self.fleet.open + 1.0);
         self.fleet.sends += 1.0;
         server.sent.push_back(now);
         server.sent.drain(..server.sent.len().saturating_sub(64));
         let asked = self.calls.get_mut(&call).expect("looked up above");
-        let number = TryNumber(asked.tries);
+        let (number, taken) = (TryNumber(asked.tries), asked.taken);
         (asked.tries, asked.out, asked.last) = (asked.tries + 1, Some(number), Some(at.clone()));
-        self.port.send(&call, &at, left);
+        self.port.send(&call, &at, left, whole_by);
         let key = (call.clone(), number);
         let over = move |c: &mut Control, end: Ended| {
             c.judge(&at, &route, &end);
             c.release(&customer, hold);
             c.settle(&customer, end.settled.map_or(0.0, |settled| settled - units), unsure);
-            c.over(&call, (now, at), end);
+            let came = !matches!(end.outcome, Outcome::NoConnection | Outcome::NotSent);
+            match c.calls.get_mut(&call) {
+                Some(asked) => asked.taken |= came,
+                None if !came && !taken => c.settle(&customer, -units, unsure),
+                None => (),
+            }
+            c.over(&call, sent, end);
         };
         self.tries.insert(key, Box::new(over));
     }
@@ -722,18 +728,18 @@
     }
 
     /// A try is over: the API call is answered, or a further try is made as far as its route permits.
-    fn over(&mut self, call: &CallId, sent: (Duration, ServerId), end: Ended) {
-        if end.closed {
-            self.calls.remove(call);
-        }
+    fn over(&mut self, call: &CallId, sent: Sent, end: Ended) {
         let Some(asked) = self.calls.get_mut(call) else { return };
         asked.out = None;
+        if end.closed {
+            return drop(self.finish(call));
+        }
         if !matches!(end.outcome, Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent) {
             asked.ran.get_or_insert(sent);
         }
         let (tries, once) = (asked.tries, asked.ran.is_some());
         let (customer, route) = (asked.arrival.customer.clone(), asked.arrival.route.clone());
-        let barred = once && self.facts.said(&route, "repeat") == "non-idempotent";
+        let barred = once && !matches!(self.facts.said(&route, "repeat"), "idempotent" | "tokened");
         let late = self.patience(&self.calls[call]) < ms(50);
         let tried = f64::from(tries) >= self.facts.number("limits.max_attempts");
         if late || barred || tried || self.fleet.further < 1.0 {
@@ -748,22 +754,36 @@
         self.hold(call, Box::new(held));
     }
 
-    fn cancel(&mut self, call: &CallId, asked: &Call) {
-        if let Some(number) = asked.out.filter(|_| self.facts.flag("limits.cancelling")) {
-            self.port.cancel(call, number);
+    /// The API call is over: a try that is out is given up. Where none has come to a server, what it paid goes back.
+    fn finish(&mut self, call: &CallId) -> Option<Call> {
+        let asked = self.calls.remove(call)?;
+        match asked.out {
+            Some(number) if self.facts.flag("limits.cancelling") => self.port.cancel(call, number),
+            None if asked.tries > 0 && !asked.taken => {
+                self.settle(&asked.arrival.customer, -asked.arrival.units, asked.unsure);
+            }
+            _ => (),
         }
+        Some(asked)
+    }
+
+    /// What a step may take beyond what it was reckoned with: the last moment lies so far ahead.
+    fn leeway(&self) -> Duration {
+        self.facts.span("resolution") * 2
     }
 
     /// The one final answer. Rate-limited where it is harmless to come again, else errored.
     fn answer(&mut self, call: &CallId, ahead: f64) {
-        let Some(asked) = self.calls.remove(call) else { return };
-        self.cancel(call, &asked);
+        let Some(asked) = self.finish(call) else { return };
         let route = &asked.arrival.route;
-        let ran = asked.out.is_some() || asked.ran.is_some();
-        match self.facts.said(route, "repeat") {
-            "tokened" if ran && self.facts.said(route, "group") != "all" => self.port.error(call),
-            "non-idempotent" if ran => self.port.error(call),
-            _ => self.port.rate_limit(call, ADVICE.mul_f64(ahead.max(1.0)).min(LONGEST_ADVICE)),
+        let harmless = match self.facts.said(route, "repeat") {
+            "idempotent" => true,
+            "tokened" if self.facts.said(route, "group") == "all" => true,
+            _ => asked.out.is_none() && asked.ran.is_none(),
+        };
+        match harmless {
+            true => self.port.rate_limit(call, ADVICE.mul_f64(ahead.max(1.0)).min(LONGEST_ADVICE)),
+            false => self.port.error(call),
         }
     }
 }
--- a/src/port.rs
+++ b/src/port.rs
@@ -201,7 +201,9 @@
 
 /// What the decisions may do.
 pub trait Port {
-    fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration);
+    /// One upstream try: an answer is waited for so long, and the command must have gone out whole by then, counted
+    /// from the start (`Duration::MAX`: at any time); what has not begun by then is not begun, and ends as `NotSent`.
+    fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration, whole_by: Duration);
     fn cancel(&mut self, call: &CallId, number: TryNumber);
     fn rate_limit(&mut self, call: &CallId, retry_after: Duration);
     fn error(&mut self, call: &CallId);
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,12 +22,22 @@
     pub out: Option<TryNumber>,
     pub last: Option<ServerId>,
     /// When and where the first try that may have run was sent.
-    pub ran: Option<(Duration, ServerId)>,
+    pub ran: Option<Sent>,
+    /// A try has come whole to a server: its units are taken.
+    pub taken: bool,
+}
+
+/// When a try was sent, and to which group of servers.
+#[derive(Clone)]
+pub struct Sent {
+    pub at: Duration,
+    pub zone: String,
+    pub cell: u64,
 }
 
 impl Call {
     pub fn new(arrival: Arrival, born: Duration, unsure: bool) -> Self {
-        Call { arrival, born, tries: 0, unsure, out: None, last: None, ran: None }
+        Call { arrival, born, tries: 0, unsure, out: None, last: None, ran: None, taken: false }
     }
 }
 
--- a/tests/plays/mod.rs
+++ b/tests/plays/mod.rs
@@ -3,10 +3,15 @@
 
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+
+/// So many files are played at a time.
+const AT_ONCE: usize = 4;
 
 /// Each file gets a stage of its own, whose `step` is handed the file's lines one by one and then the word
 /// `end`.
-pub fn every_scenario<Stage: Default>(step: impl Fn(&mut Stage, &Path, &str)) {
+pub fn every_scenario<Stage: Default>(step: impl Fn(&mut Stage, &Path, &str) + Sync) {
     let folder = std::fs::read_dir("tests/scenarios").expect("the folder");
     let mut files: Vec<_> = folder.map(|file| file.unwrap().path()).collect();
     files.retain(|path| path.extension().is_some_and(|kind| kind == "txt"));
@@ -15,17 +20,29 @@
         files.retain(|path| path.to_string_lossy().contains(&only));
     }
     assert!(!files.is_empty(), "no scenario found");
-    let mut failed = Vec::new();
-    for path in files {
-        let mut stage = Stage::default();
-        let text = std::fs::read_to_string(&path).expect("a scenario");
-        let lines = text.lines().map(|line| line.split('#').next().unwrap_or("").trim());
-        for (place, line) in lines.chain(["end"]).enumerate().filter(|(_, line)| !line.is_empty()) {
-            if catch_unwind(AssertUnwindSafe(|| step(&mut stage, &path, line))).is_err() {
-                failed.push(format!("{}:{}: {line}", path.display(), place + 1));
-                break;
-            }
+    let (next, failed) = (AtomicUsize::new(0), Mutex::new(Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..AT_ONCE {
+            scope.spawn(|| {
+                while let Some(path) = files.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let complaint = play(path, &step);
+                    failed.lock().unwrap().extend(complaint);
+                }
+            });
         }
-    }
+    });
+    let mut failed = failed.into_inner().unwrap();
+    failed.sort();
     assert!(failed.is_empty(), "\n{}", failed.join("\n"));
 }
+
+/// Plays one file; says where it failed.
+fn play<Stage: Default>(path: &Path, step: &impl Fn(&mut Stage, &Path, &str)) -> Option<String> {
+    let mut stage = Stage::default();
+    let text = std::fs::read_to_string(path).expect("a scenario");
+    let lines = text.lines().map(|line| line.split('#').next().unwrap_or("").trim());
+    let mut lines = lines.chain(["end"]).enumerate().filter(|(_, line)| !line.is_empty());
+    let (place, line) =
+        lines.find(|(_, line)| catch_unwind(AssertUnwindSafe(|| step(&mut stage, path, line))).is_err())?;
+    Some(format!("{}:{}: {line}", path.display(), place + 1))
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -11,10 +11,11 @@
 //! total H 1 | refused H | lost H  the counter answers the oldest open add on the name labelled H; before it
 //!                                 what was given back there is answered too; 'unread H' tells no total
 //! wait                            moves the clock in steps of 10 ms until something is done
-//! end r1 0 proxied [units]        an upstream try ends: proxied error full silence unreachable reset
+//! end r1 0 proxied [units]        an upstream try ends: proxied error full silence unreachable reset unsent
 //! gone r1                         the client has left
 //! asleep                          nothing but the periodic timer is set
-//! > count H +1                    expected, in order and complete: count, send, limit, error, cancel
+//! > count H +1                    expected, in order and complete: count, send, limit, error, cancel; 'send r1 a by 2'
+//!                                 where the command must have gone out whole by then
 //! ```
 //!
 //! A label is bound to a counter name where it is first seen; `send r1 *` takes any server.
@@ -46,8 +47,12 @@
 }
 
 impl Port for Recorder {
-    fn send(&mut self, call: &CallId, server: &ServerId, _: Duration) {
-        self.note(format!("send {} {}", call.0, server.0));
+    fn send(&mut self, call: &CallId, server: &ServerId, _: Duration, whole_by: Duration) {
+        let by = match whole_by {
+            Duration::MAX => String::new(),
+            by => format!(" by {}", by.as_secs_f64()),
+        };
+        self.note(format!("send {} {}{by}", call.0, server.0));
     }
     fn cancel(&mut self, call: &CallId, number: TryNumber) {
         self.note(format!("cancel {} {}", call.0, number.0));
@@ -145,7 +150,7 @@
         assert!(!self.seen.0.borrow().actions.is_empty(), "nothing was done");
         let got = self.seen.0.borrow_mut().actions.remove(0);
         let words: Vec<&str> = got.split(' ').collect();
-        if let ["send", call, _] = words[..] {
+        if let ["send", call, ..] = words[..] {
             self.sent.insert(call.to_string(), self.now);
         }
         if let (["count", label, _], ["count", name, _]) = (wanted, &words[..]) {
@@ -229,6 +234,7 @@
                     "full" => Outcome::TurnedAway,
                     "silence" => Outcome::TimedOut,
                     "unreachable" => Outcome::NoConnection,
+                    "unsent" => Outcome::NotSent,
                     "reset" => Outcome::Broken,
                     other => panic!("no such end: {other}"),
                 };
