--- a/edge/src/calls.rs
+++ b/edge/src/calls.rs
@@ -1,7 +1,7 @@
 //! The open API calls: what a client asked, until when, how often it was sent on, and where the answer goes.
 
+use crate::reactor::Serial;
 use crate::resp::{self, Words};
-use crate::turn::Serial;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wellcrank::port::*;
--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -4,8 +4,8 @@
 use crate::calls::{self, Asked, Calls, Open, Place};
 use crate::must;
 use crate::pipe::Pipe;
+use crate::reactor::{News, Reactor, Serial, Side};
 use crate::resp;
-use crate::turn::{Hub, News, Serial, Side};
 use mio::net::TcpListener;
 use mio::Interest;
 use slab::Slab;
@@ -56,10 +56,10 @@
 }
 
 impl Clients {
-    pub fn listen(hub: &mut Hub, at: SocketAddr) -> io::Result<Clients> {
+    pub fn listen(reactor: &mut Reactor, at: SocketAddr) -> io::Result<Clients> {
         let mut listener = TcpListener::bind(at)?;
-        hub.registry.register(&mut listener, Side::Listener.token(0), Interest::READABLE)?;
-        let longest_wait = calls::longest_timeout(&hub.facts);
+        reactor.registry.register(&mut listener, Side::Listener.token(0), Interest::READABLE)?;
+        let longest_wait = calls::longest_timeout(&reactor.facts);
         let connections = Slab::new();
         let (waiting, room, ready, resume) = (false, false, false, vec![]);
         Ok(Clients { listener, connections, waiting, room, resume, ready, longest_wait })
@@ -70,13 +70,14 @@
     }
 
     /// Accepts what waits; when short of sockets an idle connection makes room, else the rest waits on.
-    pub fn accept(&mut self, hub: &mut Hub, calls: &mut Calls) {
+    pub fn accept(&mut self, reactor: &mut Reactor, calls: &mut Calls) {
         self.waiting = false;
         loop {
             // What goes for a new connection is closed only when there is one.
-            let full = |clients: &Clients, hub: &Hub| clients.connections.len() >= hub.budget.clients;
-            let oldest = if full(self, hub) { self.idle_longest(hub, calls) } else { None };
-            if oldest.is_none() && full(self, hub) {
+            let full =
+                |clients: &Clients, reactor: &Reactor| clients.connections.len() >= reactor.budget.clients;
+            let oldest = if full(self, reactor) { self.idle_longest(reactor, calls) } else { None };
+            if oldest.is_none() && full(self, reactor) {
                 self.waiting = true;
                 return;
             }
@@ -86,17 +87,17 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => continue,
                 Err(error) => {
-                    slog::warn!(hub.log, "cannot accept"; "error" => %error);
+                    slog::warn!(reactor.log, "cannot accept"; "error" => %error);
                     self.waiting = true;
                     return;
                 }
             };
             if let Some(key) = oldest {
-                self.close(hub, key, calls);
+                self.close(reactor, key, calls);
             }
             let key = self.connections.vacant_key();
-            if let Ok(pipe) = Pipe::accepted(hub, socket, Side::Client, key) {
-                let (connection, used) = (hub.serial(), hub.now);
+            if let Ok(pipe) = Pipe::accepted(reactor, socket, Side::Client, key) {
+                let (connection, used) = (reactor.serial(), reactor.now);
                 let (slots, known, held_up, closing) = (VecDeque::new(), false, false, false);
                 let first = 0;
                 let client = Client { pipe, connection, first, slots, used, known, held_up, closing };
@@ -107,40 +108,40 @@
 
     /// The connection to go for another one: that of a client that has asked nothing yet, else one that has
     /// been idle longest.
-    fn idle_longest(&mut self, hub: &mut Hub, calls: &mut Calls) -> Option<usize> {
+    fn idle_longest(&mut self, reactor: &mut Reactor, calls: &mut Calls) -> Option<usize> {
         loop {
-            let idle = self.connections.iter().filter(|(_, client)| client.idle(hub));
+            let idle = self.connections.iter().filter(|(_, client)| client.idle(reactor));
             let (key, _) = idle.min_by_key(|(_, client)| (client.known, client.used))?;
-            if self.stays_idle(hub, key, calls) {
+            if self.stays_idle(reactor, key, calls) {
                 return Some(key);
             }
         }
     }
 
     /// Takes what has come and not been told yet; says whether that was nothing.
-    fn stays_idle(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) -> bool {
+    fn stays_idle(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls) -> bool {
         self.connections[key].pipe.drained = false;
-        self.pump(hub, key, calls);
-        self.connections.get(key).is_some_and(|client| client.idle(hub))
+        self.pump(reactor, key, calls);
+        self.connections.get(key).is_some_and(|client| client.idle(reactor))
     }
 
-    pub fn ready(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
+    pub fn ready(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls) {
         let Some(client) = self.connections.get_mut(key) else { return };
         // Its end is told once. One that is not read any further must not be missed: its client has gone.
-        if hub.ending && (client.held_up || client.closing) {
-            return self.close(hub, key, calls);
+        if reactor.ending && (client.held_up || client.closing) {
+            return self.close(reactor, key, calls);
         }
         client.pipe.drained = false;
         if client.pipe.left() > 0 {
-            self.flush(hub, key, calls);
+            self.flush(reactor, key, calls);
         }
-        self.pump(hub, key, calls);
+        self.pump(reactor, key, calls);
     }
 
     /// Takes commands and reads on, until there is no more or no room.
-    fn pump(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
+    fn pump(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls) {
         loop {
-            if !self.take(hub, key, calls) {
+            if !self.take(reactor, key, calls) {
                 return;
             }
             let client = &mut self.connections[key];
@@ -148,17 +149,17 @@
                 return;
             }
             let begun = !client.pipe.input.is_empty();
-            if !client.pipe.read(hub, resp::WHOLE) {
-                return self.close(hub, key, calls);
+            if !client.pipe.read(reactor, resp::WHOLE) {
+                return self.close(reactor, key, calls);
             }
             if !begun && !client.pipe.input.is_empty() {
-                client.used = hub.now;
+                client.used = reactor.now;
             }
         }
     }
 
     /// Takes the whole commands in the input. False if the connection is to be read no further now.
-    fn take(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) -> bool {
+    fn take(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls) -> bool {
         let Some(client) = self.connections.get_mut(key) else { return false };
         client.held_up = false;
         let (input, mut took) = (std::mem::take(&mut client.pipe.input), 0);
@@ -167,82 +168,82 @@
             match resp::command(bytes) {
                 // What is no whole command yet must end within the size of one.
                 Ok(None) if bytes.len() < resp::WHOLE => break,
-                Ok(None) => client.malformed(hub, "too long a command"),
+                Ok(None) => client.malformed(reactor, "too long a command"),
                 Ok(Some((words, end))) => {
-                    let most = hub.facts.number("limits.max_open") as usize;
+                    let most = reactor.facts.number("limits.max_open") as usize;
                     // Each open API call may yet bring a whole value.
-                    let crowded = hub.held + calls.len() * resp::VALUE > hub.budget.bytes;
+                    let crowded = reactor.held + calls.len() * resp::VALUE > reactor.budget.bytes;
                     let full = crowded || (most > 0 && calls.len() >= most);
                     let opens = Asked::is_named(bytes, &words);
                     client.held_up = (full && opens) || client.pipe.left() > resp::WHOLE;
                     if client.held_up {
                         break;
                     }
-                    client.command(hub, key, &bytes[..end], words, calls, self.ready);
-                    (took, client.used) = (took + end, hub.now);
+                    client.command(reactor, key, &bytes[..end], words, calls, self.ready);
+                    (took, client.used) = (took + end, reactor.now);
                 }
-                Err(why) => client.malformed(hub, why),
+                Err(why) => client.malformed(reactor, why),
             }
         }
         client.pipe.input = input;
-        client.pipe.take(hub, took);
+        client.pipe.take(reactor, took);
         !client.closing && !client.held_up
     }
 
     /// Writes an answer, now if all before it are answered.
-    pub fn answer(&mut self, hub: &mut Hub, place: Place, write: impl FnOnce(&mut Vec<u8>)) {
+    pub fn answer(&mut self, reactor: &mut Reactor, place: Place, write: impl FnOnce(&mut Vec<u8>)) {
         let client = self.connections.get_mut(place.key).filter(|it| it.connection == place.connection);
         let Some(client) = client else { return };
-        client.answer(hub, place.number, write);
+        client.answer(reactor, place.number, write);
         if client.held_up {
             self.resume.push(place.key);
         }
     }
 
-    pub fn flush(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
+    pub fn flush(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls) {
         let Some(client) = self.connections.get_mut(key) else { return };
-        match client.pipe.flush(hub) {
+        match client.pipe.flush(reactor) {
             Ok(moved) => {
-                client.used = if moved { hub.now } else { client.used };
+                client.used = if moved { reactor.now } else { client.used };
                 if client.held_up && moved {
                     self.resume.push(key);
                 }
                 let quiet = client.quiet();
                 self.room |= quiet;
-                let leaves = hub.leaving && client.idle(hub);
-                if (client.closing && quiet) || (leaves && self.stays_idle(hub, key, calls)) {
-                    self.close(hub, key, calls);
+                let leaves = reactor.leaving && client.idle(reactor);
+                if (client.closing && quiet) || (leaves && self.stays_idle(reactor, key, calls)) {
+                    self.close(reactor, key, calls);
                 }
             }
-            Err(_) => self.close(hub, key, calls),
+            Err(_) => self.close(reactor, key, calls),
         }
     }
 
     /// The client has gone, or is given up: its open API calls have nobody to answer any more.
-    fn close(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls) {
+    fn close(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls) {
         let Some(client) = self.connections.try_remove(key) else { return };
         for slot in client.slots {
-            hub.freed(slot.answer.map_or(0, |answer| answer.len()));
+            reactor.freed(slot.answer.map_or(0, |answer| answer.len()));
             if let Some(call) = slot.call.and_then(|call| calls.left(call)) {
-                hub.news.push_back(News::Gone(call));
+                reactor.news.push_back(News::Gone(call));
             }
         }
-        client.pipe.close(hub);
+        client.pipe.close(reactor);
         self.room = true;
     }
 
     /// Lets connections go on that an answer, a write or an end has made room for: those held up, and those
     /// not accepted yet. The one place for it: to accept may close a connection, which may not accept again
     /// from within. Says if there were any.
-    pub fn resume(&mut self, hub: &mut Hub, calls: &mut Calls) -> bool {
+    pub fn resume(&mut self, reactor: &mut Reactor, calls: &mut Calls) -> bool {
         if std::mem::take(&mut self.room) && self.waiting {
-            self.accept(hub, calls);
+            self.accept(reactor, calls);
             return true;
         }
         let keys = std::mem::take(&mut self.resume);
         for key in &keys {
             if self.connections.get(*key).is_some_and(|client| client.held_up) {
-                self.pump(hub, *key, calls);
+                self.pump(reactor, *key, calls);
             }
         }
         !keys.is_empty()
@@ -250,18 +251,18 @@
 
     /// At each tick: who has asked nothing that can be taken for so long, or has left a command unfinished, is
     /// told so and closed; so are clients between two API calls, where they hold most of the connections.
-    pub fn sweep_idle(&mut self, hub: &mut Hub, calls: &mut Calls) {
-        let (crowded, now) = (self.connections.len() * 2 > hub.budget.clients, hub.now);
+    pub fn sweep_idle(&mut self, reactor: &mut Reactor, calls: &mut Calls) {
+        let (crowded, now) = (self.connections.len() * 2 > reactor.budget.clients, reactor.now);
         let over = |client: &Client| {
             let done = client.known && client.pipe.input.is_empty();
             client.quiet() && client.used + IDLE <= now && (crowded || !done)
         };
         for key in self.keys(over) {
             self.connections[key].pipe.drained = false;
-            self.pump(hub, key, calls);
+            self.pump(reactor, key, calls);
             match self.connections.get_mut(key).filter(|client| over(client)) {
-                Some(client) if client.pipe.input.is_empty() => self.close(hub, key, calls),
-                Some(client) => client.malformed(hub, "too slow a command"),
+                Some(client) if client.pipe.input.is_empty() => self.close(reactor, key, calls),
+                Some(client) => client.malformed(reactor, "too slow a command"),
                 None => (),
             }
         }
@@ -270,30 +271,30 @@
     /// Once a second: who does not take its answers for longer than any client waits is closed, and, when
     /// memory is short, the largest half commands of clients with nothing open; others held up get a new
     /// chance.
-    pub fn sweep(&mut self, hub: &mut Hub, calls: &mut Calls) {
+    pub fn sweep(&mut self, reactor: &mut Reactor, calls: &mut Calls) {
         let longest = self.longest_wait;
-        let stuck = |client: &Client| client.pipe.left() > 0 && client.used + longest < hub.now;
+        let stuck = |client: &Client| client.pipe.left() > 0 && client.used + longest < reactor.now;
         for key in self.keys(stuck) {
-            self.close(hub, key, calls);
+            self.close(reactor, key, calls);
         }
-        while hub.held > hub.budget.bytes {
-            let stalled = hub.now.saturating_sub(hub.facts.span("limits.connect_timeout"));
+        while reactor.held > reactor.budget.bytes {
+            let stalled = reactor.now.saturating_sub(reactor.facts.span("limits.connect_timeout"));
             let half = self.connections.iter().filter(|(_, client)| {
                 client.quiet() && !client.pipe.input.is_empty() && client.used < stalled
             });
             let Some((key, _)) = half.max_by_key(|(_, client)| client.pipe.input.len()) else { break };
-            slog::warn!(hub.log, "memory is short: a half command is dropped"; "held" => hub.held);
-            self.close(hub, key, calls);
+            slog::warn!(reactor.log, "memory is short: a half command is dropped"; "held" => reactor.held);
+            self.close(reactor, key, calls);
         }
         self.resume = self.keys(|client| client.held_up);
         self.room = true;
     }
 
     /// The gateway stops: connections with nothing open are closed, unless something has just come.
-    pub fn close_idle(&mut self, hub: &mut Hub, calls: &mut Calls) {
-        for key in self.keys(|client| client.idle(hub)) {
-            if self.connections.contains(key) && self.stays_idle(hub, key, calls) {
-                self.close(hub, key, calls);
+    pub fn close_idle(&mut self, reactor: &mut Reactor, calls: &mut Calls) {
+        for key in self.keys(|client| client.idle(reactor)) {
+            if self.connections.contains(key) && self.stays_idle(reactor, key, calls) {
+                self.close(reactor, key, calls);
             }
         }
     }
@@ -312,13 +313,13 @@
     /// Between two API calls, as far as is seen: only then may a connection be closed. A client that has asked
     /// nothing yet may just be about to, and has as long as a connection may take to come up; so has the rest
     /// of a command, and of a known client's as long as a connection may stand idle.
-    fn idle(&self, hub: &Hub) -> bool {
+    fn idle(&self, reactor: &Reactor) -> bool {
         let wait = match (self.known, self.pipe.input.is_empty()) {
             (true, true) => Duration::ZERO,
             (true, false) => IDLE,
-            _ => hub.facts.span("limits.connect_timeout"),
+            _ => reactor.facts.span("limits.connect_timeout"),
         };
-        self.quiet() && self.used + wait <= hub.now
+        self.quiet() && self.used + wait <= reactor.now
     }
 
     /// A new command's place in the order; says its number.
@@ -328,10 +329,10 @@
     }
 
     /// After what is no RESP2 nothing can be read any more: an error in its turn, then the end.
-    fn malformed(&mut self, hub: &mut Hub, why: &str) {
+    fn malformed(&mut self, reactor: &mut Reactor, why: &str) {
         self.closing = true;
         let number = self.slot();
-        self.answer(hub, number, |out| {
+        self.answer(reactor, number, |out| {
             out.extend_from_slice(format!("-ERR Protocol error: {why}\r\n").as_bytes());
         });
     }
@@ -339,7 +340,7 @@
     /// One whole command.
     fn command(
         &mut self,
-        hub: &mut Hub,
+        reactor: &mut Reactor,
         key: usize,
         bytes: &[u8],
         words: resp::Words,
@@ -349,8 +350,8 @@
         let number = self.slot();
         let word = |place: usize| words.get(place).map_or(&[][..], |word| &bytes[word.clone()]);
         let said = match word(0).to_ascii_uppercase().as_slice() {
-            _ if Asked::is_named(bytes, &words) => match Asked::new(bytes, words, &hub.facts, calls) {
-                Ok(asked) => return self.call(hub, key, number, asked, calls),
+            _ if Asked::is_named(bytes, &words) => match Asked::new(bytes, words, &reactor.facts, calls) {
+                Ok(asked) => return self.call(reactor, key, number, asked, calls),
                 Err(why) => format!("-ERR {why}\r\n"),
             },
             b"PING" if ready => {
@@ -361,12 +362,12 @@
             b"CLIENT" | b"SELECT" => "+OK\r\n".into(),
             _ => "-ERR unknown command\r\n".into(),
         };
-        self.answer(hub, number, |out| out.extend_from_slice(said.as_bytes()));
+        self.answer(reactor, number, |out| out.extend_from_slice(said.as_bytes()));
     }
 
-    fn call(&mut self, hub: &mut Hub, key: usize, number: u64, asked: Asked, calls: &mut Calls) {
-        let serial = hub.serial();
-        let until = hub.now + asked.wait;
+    fn call(&mut self, reactor: &mut Reactor, key: usize, number: u64, asked: Asked, calls: &mut Calls) {
+        let serial = reactor.serial();
+        let until = reactor.now + asked.wait;
         let arrival = Arrival {
             call: calls::id(serial),
             customer: asked.customer.clone(),
@@ -380,29 +381,29 @@
         self.known = true;
         let place = Place { key, connection: self.connection, number };
         self.slots.back_mut().expect("pushed for this command").call = Some(serial);
-        hub.held += asked.size();
+        reactor.held += asked.size();
         calls.open(serial, Open { asked, until, tries: 0, place, answered: false, left: false });
-        hub.news.push_back(News::Arrived(arrival));
+        reactor.news.push_back(News::Arrived(arrival));
     }
 
-    fn answer(&mut self, hub: &mut Hub, number: u64, write: impl FnOnce(&mut Vec<u8>)) {
+    fn answer(&mut self, reactor: &mut Reactor, number: u64, write: impl FnOnce(&mut Vec<u8>)) {
         let place = number.wrapping_sub(self.first) as usize;
-        must!(hub, place < self.slots.len(), "an answer goes to a command that waits for it");
+        must!(reactor, place < self.slots.len(), "an answer goes to a command that waits for it");
         if place > 0 {
             let Some(slot) = self.slots.get_mut(place) else { return };
-            must!(hub, slot.answer.is_none(), "one answer to a command");
+            must!(reactor, slot.answer.is_none(), "one answer to a command");
             let mut answer = Vec::new();
             write(&mut answer);
-            hub.held += answer.len();
+            reactor.held += answer.len();
             slot.answer = Some(answer);
             return;
         }
-        self.pipe.put(hub, write);
+        self.pipe.put(reactor, write);
         self.slots.pop_front();
         self.first += 1;
         while let Some(answer) = self.slots.front_mut().and_then(|slot| slot.answer.take()) {
-            hub.freed(answer.len());
-            self.pipe.put(hub, |out| out.extend_from_slice(&answer));
+            reactor.freed(answer.len());
+            self.pipe.put(reactor, |out| out.extend_from_slice(&answer));
             self.slots.pop_front();
             self.first += 1;
         }
--- a/edge/src/counter.rs
+++ b/edge/src/counter.rs
@@ -4,7 +4,7 @@
 
 use crate::must;
 use crate::pipe::Pipe;
-use crate::turn::{Due, DueId, Hub, News, Serial, Side};
+use crate::reactor::{Due, DueId, News, Reactor, Serial, Side};
 use mio::event::Event;
 use std::collections::VecDeque;
 use std::io::Write;
@@ -55,28 +55,28 @@
     }
 }
 
-fn counted(hub: &mut Hub, name: CounterName, counted: Counted) {
-    hub.news.push_back(News::Counted(name, counted));
+fn counted(reactor: &mut Reactor, name: CounterName, counted: Counted) {
+    reactor.news.push_back(News::Counted(name, counted));
 }
 
 impl Counter {
-    pub fn new(hub: &mut Hub, at: Option<SocketAddr>) -> Counter {
-        let lines = (0..hub.budget.counter * 2).map(|_| Line::default()).collect();
+    pub fn new(reactor: &mut Reactor, at: Option<SocketAddr>) -> Counter {
+        let lines = (0..reactor.budget.counter * 2).map(|_| Line::default()).collect();
         let mut counter = Counter { at: None, lines, base: 0 };
-        counter.move_to(hub, at);
+        counter.move_to(reactor, at);
         counter
     }
 
     /// The counter is elsewhere from now on. What was asked before is still answered on the old lines.
-    pub fn move_to(&mut self, hub: &mut Hub, at: Option<SocketAddr>) {
+    pub fn move_to(&mut self, reactor: &mut Reactor, at: Option<SocketAddr>) {
         if at == self.at {
             return;
         }
         (self.at, self.base) = (at, self.half() - self.base);
         for place in self.base..self.base + self.half() {
-            self.end(hub, place);
-            self.connect(hub, place);
-            self.retire(hub, self.twin(place));
+            self.end(reactor, place);
+            self.connect(reactor, place);
+            self.retire(reactor, self.twin(place));
         }
     }
 
@@ -94,82 +94,83 @@
     }
 
     /// An old line that owes no answer any more is closed, and its successor is heard.
-    fn retire(&mut self, hub: &mut Hub, place: usize) {
+    fn retire(&mut self, reactor: &mut Reactor, place: usize) {
         if self.lines[place].owes() || self.in_use(place) {
             return;
         }
         if let Some(pipe) = std::mem::take(&mut self.lines[place]).pipe {
-            pipe.close(hub);
+            pipe.close(reactor);
         }
         let next = self.twin(place);
-        if !self.answered(hub, next) {
-            self.end(hub, next);
+        if !self.answered(reactor, next) {
+            self.end(reactor, next);
         }
     }
 
-    fn connect(&mut self, hub: &mut Hub, place: usize) {
+    fn connect(&mut self, reactor: &mut Reactor, place: usize) {
         let Some(at) = self.at else { return };
-        let pipe = Pipe::connect(hub, at, Side::Counter, place).ok();
-        self.lines[place] = Line { pipe, heard: hub.now, ..Line::default() };
+        let pipe = Pipe::connect(reactor, at, Side::Counter, place).ok();
+        self.lines[place] = Line { pipe, heard: reactor.now, ..Line::default() };
     }
 
-    pub fn count(&mut self, hub: &mut Hub, name: CounterName, add: f64, keep: Duration) {
+    pub fn count(&mut self, reactor: &mut Reactor, name: CounterName, add: f64, keep: Duration) {
         let place = self.base + (name.0 % self.half() as u64) as usize;
-        let limit = hub.facts.span("counter.counter_timeout");
+        let limit = reactor.facts.span("counter.counter_timeout");
         // A connection on which calls wait, and nothing has come for longer than a new one and a call on it
         // would take, may belong to a machine that is gone without a word.
-        let patience = limit + hub.facts.span("limits.connect_timeout");
+        let patience = limit + reactor.facts.span("limits.connect_timeout");
         let line = &self.lines[place];
-        let silent = line.waiting.front().is_some_and(|call| call.at.max(line.heard) + patience < hub.now);
+        let silent =
+            line.waiting.front().is_some_and(|call| call.at.max(line.heard) + patience < reactor.now);
         if silent {
-            self.end(hub, place);
+            self.end(reactor, place);
         }
         if self.lines[place].pipe.is_none() {
-            self.connect(hub, place);
+            self.connect(reactor, place);
         }
         let line = &mut self.lines[place];
-        let Some(pipe) = &mut line.pipe else { return counted(hub, name, Counted::NotAdded) };
+        let Some(pipe) = &mut line.pipe else { return counted(reactor, name, Counted::NotAdded) };
         let keep = keep.as_millis().clamp(1, 60_000);
-        line.put += pipe.put(hub, |out| drop(write!(out, "incr {} {add} {keep}\r\n", name.0)));
-        let number = hub.serial();
-        let due = hub.at(hub.now + limit, Due::Count { line: place, number });
-        line.waiting.push_back(Waiting { number, name: Some(name), at: hub.now, due, end: line.put });
+        line.put += pipe.put(reactor, |out| drop(write!(out, "incr {} {add} {keep}\r\n", name.0)));
+        let number = reactor.serial();
+        let due = reactor.at(reactor.now + limit, Due::Count { line: place, number });
+        line.waiting.push_back(Waiting { number, name: Some(name), at: reactor.now, due, end: line.put });
     }
 
     /// A call's time is up: told at once, as not added where it was not even written.
-    pub fn due(&mut self, hub: &mut Hub, place: usize, number: Serial) {
+    pub fn due(&mut self, reactor: &mut Reactor, place: usize, number: Serial) {
         let line = &mut self.lines[place];
         let written = line.written();
         let Some(call) = line.waiting.iter_mut().find(|call| call.number == number) else { return };
         if call.end > written {
-            return self.end(hub, place);
+            return self.end(reactor, place);
         }
         if let Some(name) = call.name.take() {
-            counted(hub, name, Counted::Unsure);
+            counted(reactor, name, Counted::Unsure);
         }
-        self.retire(hub, place);
+        self.retire(reactor, place);
     }
 
-    pub fn ready(&mut self, hub: &mut Hub, place: usize, event: &Event) {
+    pub fn ready(&mut self, reactor: &mut Reactor, place: usize, event: &Event) {
         let Some(pipe) = self.lines.get_mut(place).and_then(|line| line.pipe.as_mut()) else { return };
         if event.is_writable() && (!pipe.up || pipe.left() > 0) {
             if pipe.opened().is_err() {
-                return self.end(hub, place);
+                return self.end(reactor, place);
             }
-            self.flush(hub, place);
+            self.flush(reactor, place);
         }
         let Some(pipe) = &mut self.lines[place].pipe else { return };
         if event.is_readable() || event.is_read_closed() || event.is_error() {
             pipe.drained = false;
-            let open = pipe.read(hub, hub.scratch.len());
+            let open = pipe.read(reactor, reactor.scratch.len());
             let more = !pipe.drained;
-            if !self.answered(hub, place) || !open {
-                return self.end(hub, place);
+            if !self.answered(reactor, place) || !open {
+                return self.end(reactor, place);
             }
-            self.retire(hub, place);
-            let room = |pipe: &Pipe| pipe.input.len() < hub.scratch.len();
+            self.retire(reactor, place);
+            let room = |pipe: &Pipe| pipe.input.len() < reactor.scratch.len();
             if more && self.lines[place].pipe.as_ref().is_some_and(room) {
-                self.ready(hub, place, event);
+                self.ready(reactor, place, event);
             }
         }
     }
@@ -177,7 +178,7 @@
     /// Hands each answer that has come to the call that waits for it. False if there is none that does, or an
     /// answer can't be read: it tells that its call was added, and ends the connection. What
     /// the line before it still owes comes first: the answers of a name keep their order.
-    fn answered(&mut self, hub: &mut Hub, place: usize) -> bool {
+    fn answered(&mut self, reactor: &mut Reactor, place: usize) -> bool {
         if self.in_use(place) && self.lines[self.twin(place)].owes() {
             return true;
         }
@@ -193,53 +194,53 @@
             let said = answer(text);
             took += end + 1;
             let Some(call) = line.waiting.pop_front() else { return false };
-            hub.unset(call.due);
+            reactor.unset(call.due);
             if let Some(name) = call.name {
-                must!(hub, text != "error", "the counter knows the calls that it gets");
-                counted(hub, name, said.unwrap_or(Counted::Added));
+                must!(reactor, text != "error", "the counter knows the calls that it gets");
+                counted(reactor, name, said.unwrap_or(Counted::Added));
             }
-            line.heard = hub.now;
+            line.heard = reactor.now;
             if said.is_none() {
                 return false;
             }
         }
         if took > 0 {
-            pipe.take(hub, took);
+            pipe.take(reactor, took);
         }
         true
     }
 
-    pub fn flush(&mut self, hub: &mut Hub, place: usize) {
+    pub fn flush(&mut self, reactor: &mut Reactor, place: usize) {
         let Some(pipe) = &mut self.lines[place].pipe else { return };
-        if pipe.flush(hub).is_err() {
-            self.end(hub, place);
+        if pipe.flush(reactor).is_err() {
+            self.end(reactor, place);
         }
     }
 
     /// The connection is over: what was not written was not added, the rest may have been.
-    fn end(&mut self, hub: &mut Hub, place: usize) {
+    fn end(&mut self, reactor: &mut Reactor, place: usize) {
         let mut line = std::mem::take(&mut self.lines[place]);
         let written = line.written();
         for call in line.waiting.drain(..) {
-            hub.unset(call.due);
+            reactor.unset(call.due);
             let how = if call.end > written { Counted::NotAdded } else { Counted::Unsure };
             if let Some(name) = call.name {
-                counted(hub, name, how);
+                counted(reactor, name, how);
             }
         }
         if let Some(pipe) = line.pipe {
-            pipe.close(hub);
+            pipe.close(reactor);
         }
-        self.retire(hub, place);
+        self.retire(reactor, place);
     }
 
     /// Once a second: a connection on which nothing waits is kept open by a ping, which costs nothing.
-    pub fn sweep(&mut self, hub: &mut Hub) {
+    pub fn sweep(&mut self, reactor: &mut Reactor) {
         for line in self.lines.iter_mut().filter(|line| line.waiting.is_empty()) {
             let Some(pipe) = line.pipe.as_mut().filter(|pipe| pipe.up) else { continue };
-            line.put += pipe.put(hub, |out| out.extend_from_slice(b"ping\r\n"));
-            let (number, due) = (hub.serial(), (hub.now, 0));
-            line.waiting.push_back(Waiting { number, name: None, at: hub.now, due, end: line.put });
+            line.put += pipe.put(reactor, |out| out.extend_from_slice(b"ping\r\n"));
+            let (number, due) = (reactor.serial(), (reactor.now, 0));
+            line.waiting.push_back(Waiting { number, name: None, at: reactor.now, due, end: line.put });
         }
     }
 
--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -3,7 +3,7 @@
 //! [`wellcrank_fleet::recall`]'s to say.
 
 use crate::pipe::Pipe;
-use crate::turn::{Hub, Side};
+use crate::reactor::{Reactor, Side};
 use mio::event::Event;
 use nanorand::{Rng, WyRand};
 use serde::{Deserialize, Deserializer};
@@ -149,8 +149,8 @@
 
 impl Discovery {
     /// Follows the list at `at`, from the version `rev` that this gateway was told at its start, if any.
-    pub fn new(at: SocketAddr, rev: Option<u64>, seed: u64, hub: &Hub) -> Discovery {
-        let facts = &hub.facts;
+    pub fn new(at: SocketAddr, rev: Option<u64>, seed: u64, reactor: &Reactor) -> Discovery {
+        let facts = &reactor.facts;
         // Pushed lists come from an agent on the gateway's own machine; else the fleet shares a service.
         let shared = facts.text("registry_mode") == "subscribe";
         let terms = Terms {
@@ -168,81 +168,81 @@
             rev,
             next: Duration::ZERO,
             asking: false,
-            asked: hub.now,
-            heard: hub.now,
+            asked: reactor.now,
+            heard: reactor.now,
             recall: Recall::new(terms),
             rng: WyRand::new_seed(seed),
         }
     }
 
     /// Discovery is elsewhere from now on: the list is followed there, whole at first, as its versions are its own.
-    pub fn move_to(&mut self, hub: &mut Hub, at: SocketAddr) {
+    pub fn move_to(&mut self, reactor: &mut Reactor, at: SocketAddr) {
         if at != self.at {
             (self.at, self.host, self.rev) = (at, at.to_string(), None);
             self.recall.answered();
-            self.drop_connection(hub);
+            self.drop_connection(reactor);
             if self.wanted {
-                self.connect(hub);
+                self.connect(reactor);
             }
         }
     }
 
     /// Begins or ends following the list.
-    pub fn follow(&mut self, hub: &mut Hub, on: bool) {
+    pub fn follow(&mut self, reactor: &mut Reactor, on: bool) {
         self.wanted = on;
         if on && self.pipe.is_none() {
-            self.connect(hub);
+            self.connect(reactor);
         }
     }
 
     /// Asks for the whole list now, in place of the watch that is out.
-    pub fn refetch(&mut self, hub: &mut Hub) {
+    pub fn refetch(&mut self, reactor: &mut Reactor) {
         (self.wanted, self.rev) = (true, None);
-        self.connect(hub);
+        self.connect(reactor);
     }
 
-    fn connect(&mut self, hub: &mut Hub) {
-        self.drop_connection(hub);
+    fn connect(&mut self, reactor: &mut Reactor) {
+        self.drop_connection(reactor);
         self.key += 1;
-        self.asked = hub.now;
-        self.pipe = Pipe::connect(hub, self.at, Side::Discovery, self.key).ok();
+        self.asked = reactor.now;
+        self.pipe = Pipe::connect(reactor, self.at, Side::Discovery, self.key).ok();
         if self.pipe.is_none() {
-            return self.failed(hub, Failure::Unheard, "no connection");
+            return self.failed(reactor, Failure::Unheard, "no connection");
         }
-        self.ask(hub);
+        self.ask(reactor);
     }
 
     /// The connection is over; a new one is made at the next sweep.
-    fn drop_connection(&mut self, hub: &mut Hub) {
+    fn drop_connection(&mut self, reactor: &mut Reactor) {
         self.asking = false;
-        self.next = self.next.min(hub.now);
+        self.next = self.next.min(reactor.now);
         if let Some(pipe) = self.pipe.take() {
-            pipe.close(hub);
+            pipe.close(reactor);
         }
     }
 
     /// A call failed: the connection is given up, and the next call comes when [`Recall`] says. Told once for each
     /// kind of failure, until a list comes.
-    fn failed(&mut self, hub: &mut Hub, how: Failure, why: &str) {
+    fn failed(&mut self, reactor: &mut Reactor, how: Failure, why: &str) {
         let before = self.recall;
-        self.drop_connection(hub);
+        self.drop_connection(reactor);
         let draw = self.rng.generate::<f64>();
-        self.next = hub.now + self.recall.failed(how, hub.now.saturating_sub(self.asked), draw);
-        let (heard, asked) = (hub.now.saturating_sub(self.heard), hub.now.saturating_sub(self.asked));
+        self.next = reactor.now + self.recall.failed(how, reactor.now.saturating_sub(self.asked), draw);
+        let (heard, asked) = (reactor.now.saturating_sub(self.heard), reactor.now.saturating_sub(self.asked));
         match how {
             Failure::Unheard if !before.silent() => {
-                slog::warn!(hub.log, "discovery is silent, connecting anew"; "why" => why, "rev" => self.rev,
+                slog::warn!(reactor.log, "discovery is silent, connecting anew"; "why" => why, "rev" => self.rev,
                     "connection" => self.key, "asked" => ?asked, "heard" => ?heard);
             }
             Failure::Refused if !before.refused() => {
-                slog::warn!(hub.log, "discovery answers what is no list"; "why" => why, "rev" => self.rev,
-                    "connection" => self.key, "next" => ?self.next.saturating_sub(hub.now));
+                slog::warn!(reactor.log, "discovery answers what is no list"; "why" => why, "rev" => self.rev,
+                    "connection" => self.key, "next" => ?self.next.saturating_sub(reactor.now));
             }
             _ => (),
         }
     }
 
-    fn ask(&mut self, hub: &mut Hub) {
+    fn ask(&mut self, reactor: &mut Reactor) {
         let Some(pipe) = &mut self.pipe else { return };
         let wait = self.recall.watch();
         let query = match self.rev {
@@ -251,8 +251,8 @@
         };
         let host = &self.host;
         let call = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {host}\r\n\r\n");
-        pipe.put(hub, |out| out.extend_from_slice(call.as_bytes()));
-        (self.asking, self.asked) = (true, hub.now);
+        pipe.put(reactor, |out| out.extend_from_slice(call.as_bytes()));
+        (self.asking, self.asked) = (true, reactor.now);
     }
 
     /// Until when the call that is out may go unanswered, with the wait that it asks for.
@@ -267,41 +267,41 @@
     }
 
     /// Says what has come, if a whole answer has.
-    pub fn ready(&mut self, hub: &mut Hub, key: usize, event: &Event) -> Option<News> {
+    pub fn ready(&mut self, reactor: &mut Reactor, key: usize, event: &Event) -> Option<News> {
         let pipe = self.pipe.as_mut().filter(|_| key == self.key)?;
         if event.is_writable() && pipe.left() > 0 {
-            self.flush(hub, key);
+            self.flush(reactor, key);
         }
         let pipe = self.pipe.as_mut()?;
-        let most = hub.budget.bytes.max(LIST);
-        let open = pipe.read(hub, most);
+        let most = reactor.budget.bytes.max(LIST);
+        let open = pipe.read(reactor, most);
         let read = match answer(&pipe.input, most) {
             Ok(None) if pipe.input.len() >= most => Err(TOO_LONG.to_string()),
             read => read,
         };
         let news = match read {
             Ok(Some((news, took))) => {
-                pipe.take(hub, took);
+                pipe.take(reactor, took);
                 if self.recall.failures() > 0 {
-                    slog::info!(hub.log, "discovery answers again"; "after" => self.recall.failures(),
-                        "connection" => self.key, "asked" => ?hub.now.saturating_sub(self.asked),
-                        "silent" => ?hub.now.saturating_sub(self.heard), "after rev" => self.rev,
+                    slog::info!(reactor.log, "discovery answers again"; "after" => self.recall.failures(),
+                        "connection" => self.key, "asked" => ?reactor.now.saturating_sub(self.asked),
+                        "silent" => ?reactor.now.saturating_sub(self.heard), "after rev" => self.rev,
                         "rev" => news.rev);
                 }
                 // It begins its versions anew: a change since ours can't be told, so the whole list is asked for.
                 let back = !news.all && self.rev.is_some_and(|rev| news.rev < rev);
                 if back {
-                    slog::warn!(hub.log, "discovery's versions went back, asking for the whole list";
+                    slog::warn!(reactor.log, "discovery's versions went back, asking for the whole list";
                         "after rev" => self.rev, "rev" => news.rev);
                 }
                 self.rev = Some(news.rev).filter(|_| !back);
-                (self.asking, self.heard) = (false, hub.now);
+                (self.asking, self.heard) = (false, reactor.now);
                 self.recall.answered();
                 Some(news)
             }
             Ok(None) => None,
             Err(why) => {
-                self.failed(hub, Failure::Refused, &why);
+                self.failed(reactor, Failure::Refused, &why);
                 return None;
             }
         };
@@ -309,43 +309,43 @@
             if self.asking {
                 let begun = self.pipe.as_ref().is_some_and(|pipe| !pipe.input.is_empty());
                 let why = if begun { "an answer cut short" } else { "the connection ended" };
-                self.failed(hub, Failure::Unheard, why);
+                self.failed(reactor, Failure::Unheard, why);
             } else {
-                self.drop_connection(hub);
+                self.drop_connection(reactor);
             }
         } else if let Some(news) = news.as_ref().filter(|_| self.wanted) {
             // Nothing new and too soon: it does not wait, and is asked at the next tick instead of all the time.
-            if !news.is_empty() || self.rev.is_none() || hub.now >= self.asked + self.recall.watch() / 2 {
-                self.ask(hub);
+            if !news.is_empty() || self.rev.is_none() || reactor.now >= self.asked + self.recall.watch() / 2 {
+                self.ask(reactor);
             }
         }
         news
     }
 
-    pub fn flush(&mut self, hub: &mut Hub, key: usize) {
+    pub fn flush(&mut self, reactor: &mut Reactor, key: usize) {
         let Some(pipe) = self.pipe.as_mut().filter(|_| key == self.key) else { return };
-        if pipe.flush(hub).is_err() {
-            self.failed(hub, Failure::Unheard, "the connection broke");
+        if pipe.flush(reactor).is_err() {
+            self.failed(reactor, Failure::Unheard, "the connection broke");
         }
     }
 
     /// Periodic: a new connection where there is none and one is due, or where the old one is silent for too long.
-    pub fn sweep(&mut self, hub: &mut Hub) {
+    pub fn sweep(&mut self, reactor: &mut Reactor) {
         if self.wanted && !self.asking && self.pipe.is_some() {
-            return self.ask(hub);
+            return self.ask(reactor);
         }
         if !self.wanted {
             return;
         }
         if self.asking {
-            if hub.now < self.patience() {
+            if reactor.now < self.patience() {
                 return;
             }
             let up = self.pipe.as_ref().is_some_and(|pipe| pipe.up);
-            self.failed(hub, Failure::Unheard, if up { "no answer" } else { "it never came up" });
+            self.failed(reactor, Failure::Unheard, if up { "no answer" } else { "it never came up" });
         }
-        if hub.now >= self.next {
-            self.connect(hub);
+        if reactor.now >= self.next {
+            self.connect(reactor);
         }
     }
 }
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -7,13 +7,14 @@
 mod clock;
 mod counter;
 mod discovery;
+mod event_loop;
 mod leaving;
 mod peers;
 mod pipe;
 mod pool;
+mod reactor;
 mod resp;
 mod tally;
-mod turn;
 mod world;
 
 use mio::{Interest, Poll};
@@ -71,22 +72,22 @@
     let mut poll = Poll::new()?;
     let mut signals = Signals::new([SIGTERM, SIGHUP])?;
     let registry = poll.registry().try_clone()?;
-    registry.register(&mut signals, turn::Side::Signal.token(0), Interest::READABLE)?;
+    registry.register(&mut signals, reactor::Side::Signal.token(0), Interest::READABLE)?;
     let budget = budget::Budget::new(told.limits.sockets, told.limits.memory_mb);
-    let mut hub = turn::Hub::new(registry, facts.clone(), budget, log.clone());
-    let clients = clients::Clients::listen(&mut hub, told.listen)?;
+    let mut reactor = reactor::Reactor::new(registry, facts.clone(), budget, log.clone());
+    let clients = clients::Clients::listen(&mut reactor, told.listen)?;
     let peers = match told.peer_listen.filter(|_| facts.flag("limits.peers")) {
-        Some(at) => peers::Peers::listen(&mut hub, at, told.peers, told.peers_all)?,
+        Some(at) => peers::Peers::listen(&mut reactor, at, told.peers, told.peers_all)?,
         None => peers::Peers::default(),
     };
-    let counter = counter::Counter::new(&mut hub, told.counter);
+    let counter = counter::Counter::new(&mut reactor, told.counter);
     let seed =
         u64::from_str_radix(&told.seed, 16).map_err(|error| format!("seed {:?}: {error}", told.seed))?;
     let known = told.known.as_ref().filter(|known| !known.is_empty()).map(discovery::News::rev);
-    let now = hub.now;
-    let discovery = discovery::Discovery::new(told.discovery, known, seed ^ 0x5eed_d15c, &hub);
+    let now = reactor.now;
+    let discovery = discovery::Discovery::new(told.discovery, known, seed ^ 0x5eed_d15c, &reactor);
     let world = Rc::new(RefCell::new(world::World {
-        hub,
+        reactor,
         calls: calls::Calls::default(),
         clients,
         pool: pool::Pool::default(),
@@ -98,7 +99,7 @@
         seconds: 0,
         next_second: now,
     }));
-    let port = turn::Hands(world.clone());
+    let port = event_loop::Hands(world.clone());
     let mut control = Control::new((*facts).clone(), seed, now, Box::new(port));
     {
         let world = &mut *world.borrow_mut();
@@ -106,11 +107,11 @@
             world.listed(known);
         }
         if facts.text("registry_mode") != "subscribe" {
-            world.discovery.follow(&mut world.hub, true);
+            world.discovery.follow(&mut world.reactor, true);
         }
-        slog::info!(log, "serving"; "listen" => %told.listen, "budget" => ?world.hub.budget);
+        slog::info!(log, "serving"; "listen" => %told.listen, "budget" => ?world.reactor.budget);
     }
-    turn::run(&mut poll, &world, &mut control)?;
+    event_loop::run(&mut poll, &world, &mut control)?;
     slog::info!(log, "stopped: nobody left to answer");
     Ok(())
 }
--- a/edge/src/peers.rs
+++ b/edge/src/peers.rs
@@ -1,7 +1,7 @@
 //! Datagrams between gateways, where the settings allow them. The decisions send none today and are told of
 //! none: what comes is read and dropped, so that the socket's buffer does not stay full.
 
-use crate::turn::{Hub, Side};
+use crate::reactor::{Reactor, Side};
 use mio::net::UdpSocket;
 use mio::Interest;
 use std::io;
@@ -19,13 +19,13 @@
 
 impl Peers {
     pub fn listen(
-        hub: &mut Hub,
+        reactor: &mut Reactor,
         at: SocketAddr,
         each: Vec<SocketAddr>,
         all: Option<SocketAddr>,
     ) -> io::Result<Peers> {
         let mut socket = UdpSocket::bind(at)?;
-        hub.registry.register(&mut socket, Side::Peers.token(0), Interest::READABLE)?;
+        reactor.registry.register(&mut socket, Side::Peers.token(0), Interest::READABLE)?;
         Ok(Peers { socket: Some(socket), each, all })
     }
 
@@ -37,9 +37,9 @@
         }
     }
 
-    pub fn ready(&mut self, hub: &mut Hub) {
+    pub fn ready(&mut self, reactor: &mut Reactor) {
         if let Some(socket) = &self.socket {
-            while socket.recv_from(&mut hub.scratch).is_ok() {}
+            while socket.recv_from(&mut reactor.scratch).is_ok() {}
         }
     }
 }
--- a/edge/src/pipe.rs
+++ b/edge/src/pipe.rs
@@ -1,7 +1,7 @@
 //! One buffered TCP connection: reads until the socket is empty, collects what is to be written until the end
 //! of the turn, and tells whether all of it was.
 
-use crate::turn::{Hub, Side};
+use crate::reactor::{Reactor, Side};
 use mio::net::TcpStream;
 use mio::{Interest, Token};
 use std::io::{self, ErrorKind, Read, Write};
@@ -25,17 +25,23 @@
 }
 
 impl Pipe {
-    pub fn connect(hub: &mut Hub, at: SocketAddr, side: Side, key: usize) -> io::Result<Pipe> {
-        Pipe::new(hub, TcpStream::connect(at)?, side, key, false)
+    pub fn connect(reactor: &mut Reactor, at: SocketAddr, side: Side, key: usize) -> io::Result<Pipe> {
+        Pipe::new(reactor, TcpStream::connect(at)?, side, key, false)
     }
 
-    pub fn accepted(hub: &mut Hub, socket: TcpStream, side: Side, key: usize) -> io::Result<Pipe> {
-        Pipe::new(hub, socket, side, key, true)
+    pub fn accepted(reactor: &mut Reactor, socket: TcpStream, side: Side, key: usize) -> io::Result<Pipe> {
+        Pipe::new(reactor, socket, side, key, true)
     }
 
-    fn new(hub: &mut Hub, mut socket: TcpStream, side: Side, key: usize, up: bool) -> io::Result<Pipe> {
+    fn new(
+        reactor: &mut Reactor,
+        mut socket: TcpStream,
+        side: Side,
+        key: usize,
+        up: bool,
+    ) -> io::Result<Pipe> {
         let token = side.token(key);
-        hub.registry.register(&mut socket, token, Interest::READABLE | Interest::WRITABLE)?;
+        reactor.registry.register(&mut socket, token, Interest::READABLE | Interest::WRITABLE)?;
         // Without it small answers would wait for the other side's acknowledgement.
         let _ = socket.set_nodelay(true);
         let (input, output, done) = (Vec::new(), Vec::new(), 0);
@@ -43,14 +49,14 @@
     }
 
     /// Has `write` add to the output; it goes out at the end of the turn. Says how many bytes it added.
-    pub fn put(&mut self, hub: &mut Hub, write: impl FnOnce(&mut Vec<u8>)) -> usize {
+    pub fn put(&mut self, reactor: &mut Reactor, write: impl FnOnce(&mut Vec<u8>)) -> usize {
         let before = self.output.len();
         write(&mut self.output);
         let added = self.output.len() - before;
-        hub.held += added;
+        reactor.held += added;
         if !self.marked {
             self.marked = true;
-            hub.written.push(self.token);
+            reactor.written.push(self.token);
         }
         added
     }
@@ -61,7 +67,7 @@
     }
 
     /// Writes what it can. Says whether any of it went.
-    pub fn flush(&mut self, hub: &mut Hub) -> io::Result<bool> {
+    pub fn flush(&mut self, reactor: &mut Reactor) -> io::Result<bool> {
         self.marked = false;
         let before = self.done;
         while self.done < self.output.len() {
@@ -76,7 +82,7 @@
         let moved = self.done > before;
         self.up |= moved;
         if self.left() == 0 {
-            hub.freed(self.output.len());
+            reactor.freed(self.output.len());
             shrink(&mut self.output);
             self.done = 0;
         }
@@ -85,19 +91,19 @@
 
     /// Reads what has come, as long as the input holds less than `most`. False once the other side has ended
     /// or the connection broke.
-    pub fn read(&mut self, hub: &mut Hub, most: usize) -> bool {
+    pub fn read(&mut self, reactor: &mut Reactor, most: usize) -> bool {
         while self.input.len() < most {
-            let room = hub.scratch.len().min(most - self.input.len());
-            match self.socket.read(&mut hub.scratch[..room]) {
+            let room = reactor.scratch.len().min(most - self.input.len());
+            match self.socket.read(&mut reactor.scratch[..room]) {
                 Ok(0) => return false,
                 Ok(some) => {
                     self.up = true;
                     // Many half commands must not take twice their size.
                     self.input.reserve_exact(if self.input.is_empty() { some } else { some.max(KEPT) });
-                    self.input.extend_from_slice(&hub.scratch[..some]);
-                    hub.held += some;
+                    self.input.extend_from_slice(&reactor.scratch[..some]);
+                    reactor.held += some;
                     // A short read has emptied the socket: what comes later is told anew.
-                    if some < room && !hub.ending {
+                    if some < room && !reactor.ending {
                         self.drained = true;
                         return true;
                     }
@@ -114,8 +120,8 @@
     }
 
     /// Takes bytes off the front of the input.
-    pub fn take(&mut self, hub: &mut Hub, count: usize) {
-        hub.freed(count);
+    pub fn take(&mut self, reactor: &mut Reactor, count: usize) {
+        reactor.freed(count);
         if count == self.input.len() {
             shrink(&mut self.input);
         } else {
@@ -134,9 +140,9 @@
         }
     }
 
-    pub fn close(mut self, hub: &mut Hub) {
-        hub.freed(self.input.len() + self.output.len());
-        let _ = hub.registry.deregister(&mut self.socket);
+    pub fn close(mut self, reactor: &mut Reactor) {
+        reactor.freed(self.input.len() + self.output.len());
+        let _ = reactor.registry.deregister(&mut self.socket);
     }
 }
 
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -7,8 +7,8 @@
 use crate::discovery::Change;
 use crate::must;
 use crate::pipe::Pipe;
+use crate::reactor::{Due, DueId, News, Reactor, Serial, Side};
 use crate::resp::{self, Reply};
-use crate::turn::{Due, DueId, Hub, News, Serial, Side};
 use mio::event::Event;
 use slab::Slab;
 use std::collections::{BTreeMap, BTreeSet};
@@ -58,10 +58,10 @@
     out: BTreeMap<(CallId, TryNumber), usize>,
 }
 
-fn ended(hub: &mut Hub, call: CallId, number: TryNumber, outcome: Outcome, sent: Duration) {
-    let latency = hub.now.saturating_sub(sent);
+fn ended(reactor: &mut Reactor, call: CallId, number: TryNumber, outcome: Outcome, sent: Duration) {
+    let latency = reactor.now.saturating_sub(sent);
     let end = Ended { outcome, latency, closed: false, settled: None, load: BTreeMap::new() };
-    hub.news.push_back(News::Ended(call, number, end));
+    reactor.news.push_back(News::Ended(call, number, end));
 }
 
 impl Pool {
@@ -69,8 +69,8 @@
         self.connections.len()
     }
 
-    pub fn not_sent(&mut self, hub: &mut Hub, call: &CallId, number: TryNumber) {
-        ended(hub, call.clone(), number, Outcome::NotSent, hub.now);
+    pub fn not_sent(&mut self, reactor: &mut Reactor, call: &CallId, number: TryNumber) {
+        ended(reactor, call.clone(), number, Outcome::NotSent, reactor.now);
     }
 
     /// A server without an address that can be read keeps the one it has; one that never had one is left out. Where
@@ -90,7 +90,7 @@
 
     /// The server list has told: addresses are known, and what was not begun at a server that drains or is
     /// gone is not begun any more.
-    pub fn listed(&mut self, hub: &mut Hub, whole: bool, lines: Vec<(Listed, Option<SocketAddr>)>) {
+    pub fn listed(&mut self, reactor: &mut Reactor, whole: bool, lines: Vec<(Listed, Option<SocketAddr>)>) {
         let mut over: Vec<usize> = Vec::new();
         if whole {
             let told: BTreeSet<&ServerId> = lines.iter().map(|(line, _)| &line.server).collect();
@@ -125,7 +125,7 @@
         });
         over.extend(unbegun.map(|(key, _)| key));
         for key in over {
-            self.fail(hub, key);
+            self.fail(reactor, key);
         }
         let used: BTreeSet<&ServerId> =
             self.connections.iter().map(|(_, connection)| &connection.server).collect();
@@ -135,44 +135,45 @@
     /// Begins an upstream try. The one place every send passes: its end is reported in any case.
     pub fn send(
         &mut self,
-        hub: &mut Hub,
+        reactor: &mut Reactor,
         (call, number): (&CallId, TryNumber),
         server: &ServerId,
         (until, whole_by): (Duration, Duration),
         asked: &Asked,
     ) {
-        let now = hub.now;
-        let over = |hub: &mut Hub, outcome| ended(hub, call.clone(), number, outcome, now);
+        let now = reactor.now;
+        let over = |reactor: &mut Reactor, outcome| ended(reactor, call.clone(), number, outcome, now);
         let Some(known) = self.known.get_mut(server).filter(|known| known.ready) else {
-            return over(hub, Outcome::NoConnection);
+            return over(reactor, Outcome::NoConnection);
         };
         let (at, life) = (known.at, known.life);
-        let key = match self.idle(hub, server) {
+        let key = match self.idle(reactor, server) {
             Some(key) => key,
-            None if !self.make_room(hub) => return over(hub, Outcome::NotSent),
+            None if !self.make_room(reactor) => return over(reactor, Outcome::NotSent),
             None => {
                 let key = self.connections.vacant_key();
-                let pipe = match Pipe::connect(hub, at, Side::Upstream, key) {
+                let pipe = match Pipe::connect(reactor, at, Side::Upstream, key) {
                     Ok(pipe) => pipe,
                     Err(error) => {
                         use io::ErrorKind::{ConnectionRefused, HostUnreachable, NetworkUnreachable};
                         let theirs = [ConnectionRefused, HostUnreachable, NetworkUnreachable];
                         // Else no descriptor, no port: the gateway's own want.
                         let theirs = theirs.contains(&error.kind());
-                        return over(hub, if theirs { Outcome::NoConnection } else { Outcome::NotSent });
+                        return over(reactor, if theirs { Outcome::NoConnection } else { Outcome::NotSent });
                     }
                 };
-                let connection = hub.serial();
+                let connection = reactor.serial();
                 let (server, job) = (server.clone(), None);
                 self.connections.insert(Upstream { pipe, server, life, connection, job, used: now })
             }
         };
         let upstream = &mut self.connections[key];
-        must!(hub, upstream.job.is_none(), "one upstream try on a connection");
-        upstream.pipe.put(hub, |out| asked.put(out, until.saturating_sub(now)));
-        let coming_up = if upstream.pipe.up { until } else { now + hub.facts.span("limits.connect_timeout") };
+        must!(reactor, upstream.job.is_none(), "one upstream try on a connection");
+        upstream.pipe.put(reactor, |out| asked.put(out, until.saturating_sub(now)));
+        let coming_up =
+            if upstream.pipe.up { until } else { now + reactor.facts.span("limits.connect_timeout") };
         let due =
-            hub.at(until.min(whole_by).min(coming_up), Due::Try { key, connection: upstream.connection });
+            reactor.at(until.min(whole_by).min(coming_up), Due::Try { key, connection: upstream.connection });
         let (call, sent) = (call.clone(), now);
         self.out.insert((call.clone(), number), key);
         let (begun, whole, part) = (false, false, false);
@@ -181,38 +182,38 @@
 
     /// The connection to a server that was idle for the shortest time. One on which anything has come since its
     /// last answer, or that has ended, is no longer of use: what came would serve the next try.
-    fn idle(&mut self, hub: &mut Hub, server: &ServerId) -> Option<usize> {
+    fn idle(&mut self, reactor: &mut Reactor, server: &ServerId) -> Option<usize> {
         loop {
             let key = self.known.get_mut(server)?.idle.pop()?;
             let pipe = &mut self.connections[key].pipe;
-            if pipe.read(hub, resp::WHOLE) && pipe.input.is_empty() {
+            if pipe.read(reactor, resp::WHOLE) && pipe.input.is_empty() {
                 return Some(key);
             }
-            self.close(hub, key);
+            self.close(reactor, key);
         }
     }
 
     /// Whether one more connection may be opened, if need be in place of the longest idle one.
-    fn make_room(&mut self, hub: &mut Hub) -> bool {
-        if self.connections.len() < hub.budget.upstream {
+    fn make_room(&mut self, reactor: &mut Reactor) -> bool {
+        if self.connections.len() < reactor.budget.upstream {
             return true;
         }
         let longest = self.known.values().filter_map(|known| known.idle.first());
         let longest = longest.min_by_key(|key| self.connections[**key].used).copied();
-        longest.map(|key| self.close(hub, key)).is_some()
+        longest.map(|key| self.close(reactor, key)).is_some()
     }
 
     /// Gives an upstream try up, by closing its connection.
-    pub fn cancel(&mut self, hub: &mut Hub, call: &CallId, number: TryNumber) {
+    pub fn cancel(&mut self, reactor: &mut Reactor, call: &CallId, number: TryNumber) {
         if let Some(key) = self.out.get(&(call.clone(), number)).copied() {
             let begun = self.connections[key].job.as_ref().is_some_and(|job| job.begun);
-            self.end(hub, key, if begun { Outcome::Cancelled } else { Outcome::NotSent });
+            self.end(reactor, key, if begun { Outcome::Cancelled } else { Outcome::NotSent });
         }
     }
 
     /// The time of a try is up, or that to connect for it, or that for its command to go out.
-    pub fn due(&mut self, hub: &mut Hub, key: usize, connection: Serial) {
-        let now = hub.now;
+    pub fn due(&mut self, reactor: &mut Reactor, key: usize, connection: Serial) {
+        let now = reactor.now;
         let Some(upstream) = self.connections.get_mut(key).filter(|it| it.connection == connection) else {
             return;
         };
@@ -220,9 +221,9 @@
         let until = if job.whole { job.until } else { job.until.min(job.whole_by) };
         if upstream.pipe.up && now < until {
             if job.part {
-                return self.spoilt(hub, key);
+                return self.spoilt(reactor, key);
             }
-            job.due = hub.at(until, Due::Try { key, connection });
+            job.due = reactor.at(until, Due::Try { key, connection });
             return;
         }
         let outcome = match (job.whole, upstream.pipe.up && !job.begun) {
@@ -230,12 +231,12 @@
             (_, true) => Outcome::NotSent,
             _ => Outcome::NoConnection,
         };
-        self.end(hub, key, outcome);
+        self.end(reactor, key, outcome);
     }
 
     pub fn ready(
         &mut self,
-        hub: &mut Hub,
+        reactor: &mut Reactor,
         key: usize,
         event: &Event,
         calls: &mut Calls,
@@ -244,47 +245,47 @@
         let Some(upstream) = self.connections.get_mut(key) else { return };
         if event.is_writable() && upstream.pipe.left() > 0 {
             if upstream.pipe.opened().is_err() {
-                return self.fail(hub, key);
+                return self.fail(reactor, key);
             }
-            self.flush(hub, key, calls);
+            self.flush(reactor, key, calls);
         }
         let Some(upstream) = self.connections.get_mut(key) else { return };
         if event.is_readable() || event.is_read_closed() || event.is_error() {
             upstream.pipe.drained = false;
-            let open = upstream.pipe.read(hub, resp::WHOLE);
+            let open = upstream.pipe.read(reactor, resp::WHOLE);
             let more = !upstream.pipe.drained;
-            self.answered(hub, key, calls, clients);
+            self.answered(reactor, key, calls, clients);
             if !self.connections.contains(key) {
                 return;
             }
             if !open {
-                self.fail(hub, key);
+                self.fail(reactor, key);
             } else if more {
                 // It goes on beyond what an answer can be.
-                self.spoilt(hub, key);
+                self.spoilt(reactor, key);
             }
         }
     }
 
     /// Hands a whole answer to the try that waits for it.
-    fn answered(&mut self, hub: &mut Hub, key: usize, calls: &mut Calls, clients: &mut Clients) {
+    fn answered(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls, clients: &mut Clients) {
         let upstream = &mut self.connections[key];
         if upstream.pipe.input.is_empty() {
             return;
         }
         // What comes before the command has gone out is no answer to it.
-        let Some(job) = upstream.job.as_mut().filter(|job| job.whole) else { return self.fail(hub, key) };
+        let Some(job) = upstream.job.as_mut().filter(|job| job.whole) else { return self.fail(reactor, key) };
         let (reply, took) = match resp::reply(&upstream.pipe.input) {
             Ok(Some(read)) => read,
             Ok(None) => {
                 if !std::mem::replace(&mut job.part, true) {
-                    hub.unset(job.due);
-                    let soon = job.until.min(hub.now + hub.facts.span("limits.connect_timeout"));
-                    job.due = hub.at(soon, Due::Try { key, connection: upstream.connection });
+                    reactor.unset(job.due);
+                    let soon = job.until.min(reactor.now + reactor.facts.span("limits.connect_timeout"));
+                    job.due = reactor.at(soon, Due::Try { key, connection: upstream.connection });
                 }
                 return;
             }
-            Err(_) => return self.spoilt(hub, key),
+            Err(_) => return self.spoilt(reactor, key),
         };
         let (mut outcome, mut settled) = (Outcome::ServerError, None);
         let load;
@@ -292,56 +293,56 @@
             Reply::Value { value, figures, load: report } => {
                 (outcome, load) = (Outcome::Proxied, report);
                 let cost = resp::pairs(figures).find(|(name, _)| *name == "cost");
-                let most = crate::calls::most_units(&hub.facts);
+                let most = crate::calls::most_units(&reactor.facts);
                 settled = cost.and_then(|(_, units)| units.parse().ok());
                 settled = settled.filter(|units: &f64| *units > 0.0 && *units <= most);
                 if let Some(open) = calls.get(&job.call).filter(|open| !open.answered) {
                     open.answered = true;
-                    hub.tally.proxied += 1;
-                    clients.answer(hub, open.place, |out| resp::put_bulk(out, value));
+                    reactor.tally.proxied += 1;
+                    clients.answer(reactor, open.place, |out| resp::put_bulk(out, value));
                 }
             }
             Reply::Busy { load: report } => (outcome, load) = (Outcome::TurnedAway, report),
             Reply::Failed { text, load: report } => {
-                must!(hub, !text.starts_with("SYNTAX"), "an app server knows the commands it is sent");
+                must!(reactor, !text.starts_with("SYNTAX"), "an app server knows the commands it is sent");
                 load = report;
             }
         }
         let load = resp::pairs(load).filter_map(|(name, value)| Some((name.into(), value.parse().ok()?)));
         let load = load.filter(|(_, value): &(String, f64)| value.is_finite()).collect();
-        let Some(job) = self.take_job(hub, key) else { return };
-        let latency = hub.now.saturating_sub(job.sent);
+        let Some(job) = self.take_job(reactor, key) else { return };
+        let latency = reactor.now.saturating_sub(job.sent);
         let end = Ended { outcome, latency, closed: false, settled, load };
-        hub.news.push_back(News::Ended(job.call, job.number, end));
+        reactor.news.push_back(News::Ended(job.call, job.number, end));
         let upstream = &mut self.connections[key];
-        upstream.pipe.take(hub, took);
-        upstream.used = hub.now;
+        upstream.pipe.take(reactor, took);
+        upstream.used = reactor.now;
         let life = upstream.life;
         let known = self.known.get_mut(&upstream.server).filter(|known| known.ready && known.life == life);
         match known.filter(|_| upstream.pipe.input.is_empty()) {
             Some(known) => known.idle.push(key),
-            None => self.close(hub, key),
+            None => self.close(reactor, key),
         }
     }
 
     /// Writes what it can of a command. The one place where one begins, perhaps long after it was decided, since its
     /// connection had to come up: the terms under which it was decided must hold still.
-    pub fn flush(&mut self, hub: &mut Hub, key: usize, calls: &Calls) {
+    pub fn flush(&mut self, reactor: &mut Reactor, key: usize, calls: &Calls) {
         let Some(upstream) = self.connections.get_mut(key) else { return };
         let lapsed = match &upstream.job {
             Some(job) if !job.begun => {
                 let known = self.known.get(&upstream.server);
                 !calls.is_open(&job.call)
-                    || hub.now >= job.until.min(job.whole_by)
+                    || reactor.now >= job.until.min(job.whole_by)
                     || known.is_none_or(|known| !known.ready || known.life != upstream.life)
             }
             _ => false,
         };
         if lapsed {
-            hub.tally.lapsed += 1;
-            return self.end(hub, key, Outcome::NotSent);
+            reactor.tally.lapsed += 1;
+            return self.end(reactor, key, Outcome::NotSent);
         }
-        match upstream.pipe.flush(hub) {
+        match upstream.pipe.flush(reactor) {
             Ok(moved) => {
                 let left = upstream.pipe.left();
                 if let Some(job) = &mut upstream.job {
@@ -349,66 +350,67 @@
                     job.whole = left == 0;
                 }
             }
-            Err(_) => self.fail(hub, key),
+            Err(_) => self.fail(reactor, key),
         }
     }
 
     /// What has come can't be read: an error of the server's, after the call may have run.
-    fn spoilt(&mut self, hub: &mut Hub, key: usize) {
-        hub.tally.spoilt += 1;
-        self.end(hub, key, Outcome::ServerError);
+    fn spoilt(&mut self, reactor: &mut Reactor, key: usize) {
+        reactor.tally.spoilt += 1;
+        self.end(reactor, key, Outcome::ServerError);
     }
 
     /// The connection broke, ended or never came up.
-    fn fail(&mut self, hub: &mut Hub, key: usize) {
+    fn fail(&mut self, reactor: &mut Reactor, key: usize) {
         let whole = self.connections[key].job.as_ref().is_some_and(|job| job.whole);
-        self.end(hub, key, if whole { Outcome::Broken } else { Outcome::NoConnection });
+        self.end(reactor, key, if whole { Outcome::Broken } else { Outcome::NoConnection });
     }
 
     /// Ends the try that a connection carries, if any, and the connection with it.
-    fn end(&mut self, hub: &mut Hub, key: usize, outcome: Outcome) {
-        if let Some(job) = self.take_job(hub, key) {
-            ended(hub, job.call, job.number, outcome, job.sent);
+    fn end(&mut self, reactor: &mut Reactor, key: usize, outcome: Outcome) {
+        if let Some(job) = self.take_job(reactor, key) {
+            ended(reactor, job.call, job.number, outcome, job.sent);
         }
-        self.close(hub, key);
+        self.close(reactor, key);
     }
 
     /// The try is no longer out.
-    fn take_job(&mut self, hub: &mut Hub, key: usize) -> Option<Job> {
+    fn take_job(&mut self, reactor: &mut Reactor, key: usize) -> Option<Job> {
         let job = self.connections[key].job.take()?;
-        hub.unset(job.due);
+        reactor.unset(job.due);
         self.out.remove(&(job.call.clone(), job.number));
         Some(job)
     }
 
-    fn close(&mut self, hub: &mut Hub, key: usize) {
+    fn close(&mut self, reactor: &mut Reactor, key: usize) {
         let upstream = self.connections.remove(key);
-        must!(hub, upstream.job.is_none(), "a try's end is told before its connection closes");
+        must!(reactor, upstream.job.is_none(), "a try's end is told before its connection closes");
         if let Some(known) = self.known.get_mut(&upstream.server) {
             known.idle.retain(|other| *other != key);
         }
-        upstream.pipe.close(hub);
+        upstream.pipe.close(reactor);
     }
 
     /// Closes the connections to a server that carry nothing.
-    pub fn release(&mut self, hub: &mut Hub, server: &ServerId) {
+    pub fn release(&mut self, reactor: &mut Reactor, server: &ServerId) {
         let idle = self.known.get_mut(server).map(|known| std::mem::take(&mut known.idle));
         for key in idle.unwrap_or_default() {
-            self.close(hub, key);
+            self.close(reactor, key);
         }
     }
 
     /// Closes what has been idle for long, sooner by the time to connect than the app server would.
-    pub fn sweep(&mut self, hub: &mut Hub) {
-        let (idle, connect) = (hub.facts.span("limits.idle_close"), hub.facts.span("limits.connect_timeout"));
+    pub fn sweep(&mut self, reactor: &mut Reactor) {
+        let (idle, connect) =
+            (reactor.facts.span("limits.idle_close"), reactor.facts.span("limits.connect_timeout"));
         if idle.is_zero() {
             return;
         }
-        let old = |key: &&usize| self.connections[**key].used + idle.saturating_sub(connect) <= hub.now;
+        let old = |key: &&usize| self.connections[**key].used + idle.saturating_sub(connect) <= reactor.now;
         let all = self.known.values();
         let over: Vec<usize> = all.flat_map(|known| known.idle.iter().take_while(old).copied()).collect();
         for key in over {
-            self.close(hub, key);
+            self.close(reactor, key);
         }
     }
 }
--- /dev/null
+++ b/edge/src/reactor.rs
@@ -0,0 +1,164 @@
+//! What all sides of the gateway share: the poll's registry, the due times in one ordered structure, what waits for
+//! the decisions, and counts of what must hold.
+
+use crate::budget::Budget;
+use crate::clock::Clock;
+use crate::tally::Tally;
+use mio::{Registry, Token};
+use slog::Logger;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+use wellcrank::port::*;
+
+/// Asserted in debug builds, counted in release builds.
+#[macro_export]
+macro_rules! must {
+    ($reactor:expr, $holds:expr, $what:literal) => {
+        if !$holds {
+            debug_assert!(false, $what);
+            $reactor.broken(concat!(file!(), ": ", $what));
+        }
+    };
+}
+
+/// Whom a token of the poll belongs to; the rest of it is a key in that side's slab.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Side {
+    Listener,
+    Signal,
+    Peers,
+    Client,
+    Upstream,
+    Counter,
+    Discovery,
+}
+
+const SIDES: [Side; 7] =
+    [Side::Listener, Side::Signal, Side::Peers, Side::Client, Side::Upstream, Side::Counter, Side::Discovery];
+
+impl Side {
+    pub fn token(self, key: usize) -> Token {
+        Token(key * SIDES.len() + self as usize)
+    }
+
+    pub fn of(token: Token) -> (Side, usize) {
+        (SIDES[token.0 % SIDES.len()], token.0 / SIDES.len())
+    }
+}
+
+/// A number that is given once: to an API call, a connection, a due time.
+pub type Serial = u64;
+
+/// Something for the decisions.
+pub enum News {
+    Arrived(Arrival),
+    Gone(CallId),
+    /// Its time is up sooner than it was told.
+    Expired(CallId),
+    Ended(CallId, TryNumber, Ended),
+    Counted(CounterName, Counted),
+    Listed(bool, Vec<Listed>),
+    Woken(WakeToken),
+}
+
+/// What falls due: a wake of the decisions, the end of an upstream try's time, that of a counter call.
+#[derive(Clone, Copy)]
+pub enum Due {
+    Wake(WakeToken),
+    Try { key: usize, connection: Serial },
+    Count { line: usize, number: Serial },
+}
+
+pub type DueId = (Duration, Serial);
+
+/// What all sides share.
+pub struct Reactor {
+    pub registry: Registry,
+    pub clock: Clock,
+    pub now: Duration,
+    pub facts: Rc<Facts>,
+    pub budget: Budget,
+    pub news: VecDeque<News>,
+    /// Connections with something to write.
+    pub written: Vec<Token>,
+    pub scratch: Box<[u8]>,
+    /// Bytes in the buffers of connections and in open API calls.
+    pub held: usize,
+    /// The poll says that the other side has ended: reads go on until they meet the end.
+    pub ending: bool,
+    /// The gateway stops: a connection is closed as soon as nothing is open on it.
+    pub leaving: bool,
+    pub tally: Tally,
+    pub log: Logger,
+    due: BTreeMap<DueId, Due>,
+    last: Serial,
+    faults: BTreeMap<&'static str, u64>,
+}
+
+impl Reactor {
+    pub fn new(registry: Registry, facts: Rc<Facts>, budget: Budget, log: Logger) -> Reactor {
+        let clock = Clock::start();
+        Reactor {
+            now: clock.now(),
+            registry,
+            clock,
+            facts,
+            budget,
+            news: VecDeque::new(),
+            written: Vec::new(),
+            scratch: vec![0; 64 * 1024].into(),
+            held: 0,
+            ending: false,
+            leaving: false,
+            tally: Tally::default(),
+            log,
+            due: BTreeMap::new(),
+            last: 0,
+            faults: BTreeMap::new(),
+        }
+    }
+
+    pub fn serial(&mut self) -> Serial {
+        self.last += 1;
+        self.last
+    }
+
+    pub fn at(&mut self, when: Duration, due: Due) -> DueId {
+        let id = (when, self.serial());
+        self.due.insert(id, due);
+        id
+    }
+
+    pub fn unset(&mut self, id: DueId) {
+        self.due.remove(&id);
+    }
+
+    /// What falls due next, if it does by now.
+    pub fn next_due(&mut self) -> Option<Due> {
+        let first = self.due.first_entry().filter(|entry| entry.key().0 <= self.now)?;
+        Some(first.remove())
+    }
+
+    /// How long until something falls due.
+    pub fn next_wait(&self) -> Option<Duration> {
+        self.due.keys().next().map(|next| next.0.saturating_sub(self.clock.now()))
+    }
+
+    /// Bytes are held no longer. A wrong count must not come out as a memory that is full for ever.
+    pub fn freed(&mut self, bytes: usize) {
+        must!(self, bytes <= self.held, "no more is freed than is held");
+        self.held = self.held.saturating_sub(bytes);
+    }
+
+    /// Something that must hold did not.
+    pub fn broken(&mut self, what: &'static str) {
+        *self.faults.entry(what).or_default() += 1;
+    }
+
+    pub fn report_faults(&mut self) {
+        for (what, times) in std::mem::take(&mut self.faults) {
+            slog::error!(self.log, "must hold and did not"; "what" => what, "times" => times);
+        }
+    }
+}
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -1,4 +1,4 @@
-//! All that one gateway owns beside its decisions: the sides, the open API calls and the hub they share.
+//! All that one gateway owns beside its decisions: the sides, the open API calls and the reactor they share.
 //! Tells each event of the poll and each due time to the side that it belongs to.
 
 use crate::calls::Calls;
@@ -8,7 +8,7 @@
 use crate::leaving::Leaving;
 use crate::peers::Peers;
 use crate::pool::Pool;
-use crate::turn::{Due, Hub, News, Side};
+use crate::reactor::{Due, News, Reactor, Side};
 use mio::event::Event;
 use signal_hook::consts::SIGHUP;
 use signal_hook_mio::v1_0::Signals;
@@ -16,7 +16,7 @@
 use wellcrank::port::*;
 
 pub struct World {
-    pub hub: Hub,
+    pub reactor: Reactor,
     pub calls: Calls,
     pub clients: Clients,
     pub pool: Pool,
@@ -33,25 +33,25 @@
 
 impl World {
     pub fn ready(&mut self, event: &Event) {
-        let World { hub, calls, clients, pool, .. } = self;
+        let World { reactor, calls, clients, pool, .. } = self;
         match Side::of(event.token()) {
-            (Side::Listener, _) => clients.accept(hub, calls),
-            (Side::Client, key) => clients.ready(hub, key, calls),
-            (Side::Upstream, key) => pool.ready(hub, key, event, calls, clients),
-            (Side::Counter, key) => self.counter.ready(hub, key, event),
+            (Side::Listener, _) => clients.accept(reactor, calls),
+            (Side::Client, key) => clients.ready(reactor, key, calls),
+            (Side::Upstream, key) => pool.ready(reactor, key, event, calls, clients),
+            (Side::Counter, key) => self.counter.ready(reactor, key, event),
             (Side::Discovery, key) => {
-                if let Some(news) = self.discovery.ready(hub, key, event) {
+                if let Some(news) = self.discovery.ready(reactor, key, event) {
                     self.listed(news);
                 }
             }
-            (Side::Peers, _) => self.peers.ready(hub),
+            (Side::Peers, _) => self.peers.ready(reactor),
             (Side::Signal, _) => {
                 for signal in self.signals.pending() {
                     if signal == SIGHUP {
-                        reread(hub, &mut self.counter, &mut self.discovery);
+                        reread(reactor, &mut self.counter, &mut self.discovery);
                     } else if self.stopping.is_none() {
-                        slog::info!(hub.log, "stopping: still answering"; "open" => calls.len());
-                        self.stopping = Some(Leaving::new(hub.now, &hub.facts));
+                        slog::info!(reactor.log, "stopping: still answering"; "open" => calls.len());
+                        self.stopping = Some(Leaving::new(reactor.now, &reactor.facts));
                     }
                 }
             }
@@ -61,7 +61,7 @@
     /// A list or a change, from discovery or from the gateway's own configuration.
     pub fn listed(&mut self, news: discovery::News) {
         let mut change = news.change();
-        let log = &self.hub.log;
+        let log = &self.reactor.log;
         if let Some(first) = change.wrong.first() {
             slog::warn!(log, "the list has entries that can't be read"; "rev" => change.rev,
                 "entries" => change.wrong.len(), "first" => first);
@@ -73,19 +73,19 @@
             slog::info!(log, "list"; "rev" => rev, "whole" => whole, "ready" => are(Phase::Ready),
                 "leaving" => are(Phase::Draining), "gone" => are(Phase::Gone));
             let told = lines.iter().map(|(line, _)| line.clone()).collect();
-            self.pool.listed(&mut self.hub, whole, lines);
-            self.hub.news.push_back(News::Listed(whole, told));
+            self.pool.listed(&mut self.reactor, whole, lines);
+            self.reactor.news.push_back(News::Listed(whole, told));
         }
         self.clients.ready = true;
     }
 
     pub fn due(&mut self, due: Due) {
-        let hub = &mut self.hub;
+        let reactor = &mut self.reactor;
         match due {
-            Due::Try { key, connection } => self.pool.due(hub, key, connection),
-            Due::Count { line, number } => self.counter.due(hub, line, number),
+            Due::Try { key, connection } => self.pool.due(reactor, key, connection),
+            Due::Count { line, number } => self.counter.due(reactor, line, number),
             Due::Wake(token) => {
-                hub.news.push_back(News::Woken(token));
+                reactor.news.push_back(News::Woken(token));
                 if token == TICK_TOKEN {
                     self.sweep();
                 }
@@ -95,33 +95,33 @@
 
     /// Told to stop, and others have had the time to connect and to notice; until then all goes on as before.
     fn leaving(&self) -> bool {
-        self.stopping.is_some_and(|leaving| leaving.closes < self.hub.now)
+        self.stopping.is_some_and(|leaving| leaving.closes < self.reactor.now)
     }
 
     /// What is done now and then; hangs on the decisions' one periodic timer.
     fn sweep(&mut self) {
-        self.hub.leaving = self.leaving();
-        let World { hub, calls, clients, pool, .. } = self;
-        if hub.leaving {
-            clients.close_idle(hub, calls);
+        self.reactor.leaving = self.leaving();
+        let World { reactor, calls, clients, pool, .. } = self;
+        if reactor.leaving {
+            clients.close_idle(reactor, calls);
         }
-        if self.stopping.is_some_and(|leaving| leaving.answers <= hub.now) {
-            hub.news.extend(calls.unanswered().map(News::Expired));
+        if self.stopping.is_some_and(|leaving| leaving.answers <= reactor.now) {
+            reactor.news.extend(calls.unanswered().map(News::Expired));
         }
-        clients.sweep_idle(hub, calls);
-        self.discovery.sweep(hub);
-        if hub.now < self.next_second {
+        clients.sweep_idle(reactor, calls);
+        self.discovery.sweep(reactor);
+        if reactor.now < self.next_second {
             return;
         }
-        (self.seconds, self.next_second) = (self.seconds + 1, hub.now + Duration::from_secs(1));
+        (self.seconds, self.next_second) = (self.seconds + 1, reactor.now + Duration::from_secs(1));
         if self.seconds.is_multiple_of(60) {
-            hub.tally.report(&hub.log, calls.len(), clients.len(), pool.len(), hub.held);
+            reactor.tally.report(&reactor.log, calls.len(), clients.len(), pool.len(), reactor.held);
         }
-        hub.clock.follow();
-        hub.report_faults();
-        clients.sweep(hub, calls);
-        pool.sweep(hub);
-        self.counter.sweep(hub);
+        reactor.clock.follow();
+        reactor.report_faults();
+        clients.sweep(reactor, calls);
+        pool.sweep(reactor);
+        self.counter.sweep(reactor);
     }
 
     /// Told to stop, and nobody is left to answer.
@@ -131,39 +131,39 @@
             return false;
         }
         // Who has connected since the last look is still answered.
-        self.clients.accept(&mut self.hub, &mut self.calls);
+        self.clients.accept(&mut self.reactor, &mut self.calls);
         self.clients.len() == 0
     }
 
     /// Writes what the turn has collected, once a connection.
     pub fn flush(&mut self) {
-        let World { hub, calls, clients, pool, .. } = self;
-        for token in std::mem::take(&mut hub.written) {
+        let World { reactor, calls, clients, pool, .. } = self;
+        for token in std::mem::take(&mut reactor.written) {
             match Side::of(token) {
-                (Side::Client, key) => clients.flush(hub, key, calls),
-                (Side::Upstream, key) => pool.flush(hub, key, calls),
-                (Side::Counter, key) => self.counter.flush(hub, key),
-                (_, key) => self.discovery.flush(hub, key),
+                (Side::Client, key) => clients.flush(reactor, key, calls),
+                (Side::Upstream, key) => pool.flush(reactor, key, calls),
+                (Side::Counter, key) => self.counter.flush(reactor, key),
+                (_, key) => self.discovery.flush(reactor, key),
             }
         }
     }
 
     pub fn resume(&mut self) -> bool {
-        self.clients.resume(&mut self.hub, &mut self.calls)
+        self.clients.resume(&mut self.reactor, &mut self.calls)
     }
 
     /// Sends an API call on, if it is still open and has a try and time left.
     pub fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration, whole_by: Duration) {
-        let World { hub, calls, pool, .. } = self;
-        let (now, most) = (hub.now, hub.facts.number("limits.max_attempts") as u32);
+        let World { reactor, calls, pool, .. } = self;
+        let (now, most) = (reactor.now, reactor.facts.number("limits.max_attempts") as u32);
         let Some(open) = calls.get(call) else { return };
         let number = TryNumber(open.tries);
         open.tries += 1;
         let until = if timeout.is_zero() { open.until } else { open.until.min(now + timeout) };
         if !open.wanted() || until <= now || (most > 0 && number.0 >= most) {
-            return pool.not_sent(hub, call, number);
+            return pool.not_sent(reactor, call, number);
         }
-        pool.send(hub, (call, number), server, (until, whole_by), &open.asked);
+        pool.send(reactor, (call, number), server, (until, whole_by), &open.asked);
     }
 
     /// The one final answer that the decisions give.
@@ -171,32 +171,32 @@
         let place = self.calls.get(call).filter(|open| open.wanted()).map(|open| open.place);
         self.forget(call);
         if let Some(place) = place {
-            self.clients.answer(&mut self.hub, place, write);
+            self.clients.answer(&mut self.reactor, place, write);
         }
     }
 
     /// The client of an API call has gone.
     pub fn left(&mut self, call: &CallId) {
-        self.hub.tally.gone += 1;
+        self.reactor.tally.gone += 1;
         self.forget(call);
     }
 
     /// The API call is over and the decisions know.
     pub fn forget(&mut self, call: &CallId) {
         if let Some(open) = self.calls.remove(call) {
-            self.hub.freed(open.asked.size());
+            self.reactor.freed(open.asked.size());
         }
     }
 }
 
 /// SIGHUP: the file is read again and followed where it says that others are; a bad one changes nothing.
-fn reread(hub: &mut Hub, counter: &mut Counter, discovery: &mut Discovery) {
+fn reread(reactor: &mut Reactor, counter: &mut Counter, discovery: &mut Discovery) {
     match crate::told() {
         Ok(told) => {
-            slog::info!(hub.log, "file read again"; "discovery" => %told.discovery, "counter" => ?told.counter);
-            discovery.move_to(hub, told.discovery);
-            counter.move_to(hub, told.counter);
+            slog::info!(reactor.log, "file read again"; "discovery" => %told.discovery, "counter" => ?told.counter);
+            discovery.move_to(reactor, told.discovery);
+            counter.move_to(reactor, told.counter);
         }
-        Err(why) => slog::warn!(hub.log, "file not read again, the old one stays"; "why" => %why),
+        Err(why) => slog::warn!(reactor.log, "file not read again, the old one stays"; "why" => %why),
     }
 }
