--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -3,9 +3,9 @@
 
 use crate::calls::{self, Asked, Calls, Open, Place};
 use crate::must;
-use crate::pipe::Pipe;
 use crate::reactor::{News, Reactor, Serial, Side};
 use crate::resp;
+use crate::stream::BufferedStream;
 use mio::net::TcpListener;
 use mio::Interest;
 use slab::Slab;
@@ -25,7 +25,7 @@
 }
 
 struct Client {
-    pipe: Pipe,
+    stream: BufferedStream,
     connection: Serial,
     /// Number of the first slot.
     first: u64,
@@ -96,11 +96,11 @@
                 self.close(reactor, key, calls);
             }
             let key = self.connections.vacant_key();
-            if let Ok(pipe) = Pipe::accepted(reactor, socket, Side::Client, key) {
+            if let Ok(stream) = BufferedStream::accepted(reactor, socket, Side::Client, key) {
                 let (connection, used) = (reactor.serial(), reactor.now);
                 let (slots, known, held_up, closing) = (VecDeque::new(), false, false, false);
                 let first = 0;
-                let client = Client { pipe, connection, first, slots, used, known, held_up, closing };
+                let client = Client { stream, connection, first, slots, used, known, held_up, closing };
                 self.connections.insert(client);
             }
         }
@@ -120,7 +120,7 @@
 
     /// Takes what has come and not been told yet; says whether that was nothing.
     fn stays_idle(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls) -> bool {
-        self.connections[key].pipe.drained = false;
+        self.connections[key].stream.drained = false;
         self.pump(reactor, key, calls);
         self.connections.get(key).is_some_and(|client| client.idle(reactor))
     }
@@ -131,8 +131,8 @@
         if reactor.ending && (client.held_up || client.closing) {
             return self.close(reactor, key, calls);
         }
-        client.pipe.drained = false;
-        if client.pipe.left() > 0 {
+        client.stream.drained = false;
+        if client.stream.left() > 0 {
             self.flush(reactor, key, calls);
         }
         self.pump(reactor, key, calls);
@@ -145,14 +145,14 @@
                 return;
             }
             let client = &mut self.connections[key];
-            if client.pipe.drained {
+            if client.stream.drained {
                 return;
             }
-            let begun = !client.pipe.input.is_empty();
-            if !client.pipe.read(reactor, resp::WHOLE) {
+            let begun = !client.stream.input.is_empty();
+            if !client.stream.read(reactor, resp::WHOLE) {
                 return self.close(reactor, key, calls);
             }
-            if !begun && !client.pipe.input.is_empty() {
+            if !begun && !client.stream.input.is_empty() {
                 client.used = reactor.now;
             }
         }
@@ -162,7 +162,7 @@
     fn take(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls) -> bool {
         let Some(client) = self.connections.get_mut(key) else { return false };
         client.held_up = false;
-        let (input, mut took) = (std::mem::take(&mut client.pipe.input), 0);
+        let (input, mut took) = (std::mem::take(&mut client.stream.input), 0);
         while !client.closing && took < input.len() {
             let bytes = &input[took..];
             match resp::command(bytes) {
@@ -175,7 +175,7 @@
                     let crowded = reactor.held + calls.len() * resp::VALUE > reactor.budget.bytes;
                     let full = crowded || (most > 0 && calls.len() >= most);
                     let opens = Asked::is_named(bytes, &words);
-                    client.held_up = (full && opens) || client.pipe.left() > resp::WHOLE;
+                    client.held_up = (full && opens) || client.stream.left() > resp::WHOLE;
                     if client.held_up {
                         break;
                     }
@@ -185,8 +185,8 @@
                 Err(why) => client.malformed(reactor, why),
             }
         }
-        client.pipe.input = input;
-        client.pipe.take(reactor, took);
+        client.stream.input = input;
+        client.stream.take(reactor, took);
         !client.closing && !client.held_up
     }
 
@@ -202,7 +202,7 @@
 
     pub fn flush(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls) {
         let Some(client) = self.connections.get_mut(key) else { return };
-        match client.pipe.flush(reactor) {
+        match client.stream.flush(reactor) {
             Ok(moved) => {
                 client.used = if moved { reactor.now } else { client.used };
                 if client.held_up && moved {
@@ -228,7 +228,7 @@
                 reactor.news.push_back(News::Gone(call));
             }
         }
-        client.pipe.close(reactor);
+        client.stream.close(reactor);
         self.room = true;
     }
 
@@ -254,14 +254,14 @@
     pub fn sweep_idle(&mut self, reactor: &mut Reactor, calls: &mut Calls) {
         let (crowded, now) = (self.connections.len() * 2 > reactor.budget.clients, reactor.now);
         let over = |client: &Client| {
-            let done = client.known && client.pipe.input.is_empty();
+            let done = client.known && client.stream.input.is_empty();
             client.quiet() && client.used + IDLE <= now && (crowded || !done)
         };
         for key in self.keys(over) {
-            self.connections[key].pipe.drained = false;
+            self.connections[key].stream.drained = false;
             self.pump(reactor, key, calls);
             match self.connections.get_mut(key).filter(|client| over(client)) {
-                Some(client) if client.pipe.input.is_empty() => self.close(reactor, key, calls),
+                Some(client) if client.stream.input.is_empty() => self.close(reactor, key, calls),
                 Some(client) => client.malformed(reactor, "too slow a command"),
                 None => (),
             }
@@ -273,16 +273,16 @@
     /// chance.
     pub fn sweep(&mut self, reactor: &mut Reactor, calls: &mut Calls) {
         let longest = self.longest_wait;
-        let stuck = |client: &Client| client.pipe.left() > 0 && client.used + longest < reactor.now;
+        let stuck = |client: &Client| client.stream.left() > 0 && client.used + longest < reactor.now;
         for key in self.keys(stuck) {
             self.close(reactor, key, calls);
         }
         while reactor.held > reactor.budget.bytes {
             let stalled = reactor.now.saturating_sub(reactor.facts.span("limits.connect_timeout"));
             let half = self.connections.iter().filter(|(_, client)| {
-                client.quiet() && !client.pipe.input.is_empty() && client.used < stalled
+                client.quiet() && !client.stream.input.is_empty() && client.used < stalled
             });
-            let Some((key, _)) = half.max_by_key(|(_, client)| client.pipe.input.len()) else { break };
+            let Some((key, _)) = half.max_by_key(|(_, client)| client.stream.input.len()) else { break };
             slog::warn!(reactor.log, "memory is short: a half command is dropped"; "held" => reactor.held);
             self.close(reactor, key, calls);
         }
@@ -307,14 +307,14 @@
 impl Client {
     /// Nothing that was taken waits for an answer.
     fn quiet(&self) -> bool {
-        self.slots.is_empty() && self.pipe.left() == 0 && !self.held_up
+        self.slots.is_empty() && self.stream.left() == 0 && !self.held_up
     }
 
     /// Between two API calls, as far as is seen: only then may a connection be closed. A client that has asked
     /// nothing yet may just be about to, and has as long as a connection may take to come up; so has the rest
     /// of a command, and of a known client's as long as a connection may stand idle.
     fn idle(&self, reactor: &Reactor) -> bool {
-        let wait = match (self.known, self.pipe.input.is_empty()) {
+        let wait = match (self.known, self.stream.input.is_empty()) {
             (true, true) => Duration::ZERO,
             (true, false) => IDLE,
             _ => reactor.facts.span("limits.connect_timeout"),
@@ -398,12 +398,12 @@
             slot.answer = Some(answer);
             return;
         }
-        self.pipe.put(reactor, write);
+        self.stream.put(reactor, write);
         self.slots.pop_front();
         self.first += 1;
         while let Some(answer) = self.slots.front_mut().and_then(|slot| slot.answer.take()) {
             reactor.freed(answer.len());
-            self.pipe.put(reactor, |out| out.extend_from_slice(&answer));
+            self.stream.put(reactor, |out| out.extend_from_slice(&answer));
             self.slots.pop_front();
             self.first += 1;
         }
--- a/edge/src/counter.rs
+++ b/edge/src/counter.rs
@@ -3,8 +3,8 @@
 //! dropped. Where the counter moves, each line has a successor, which is heard once the old one owes no answer.
 
 use crate::must;
-use crate::pipe::Pipe;
 use crate::reactor::{Due, DueId, News, Reactor, Serial, Side};
+use crate::stream::BufferedStream;
 use mio::event::Event;
 use std::collections::VecDeque;
 use std::io::Write;
@@ -25,7 +25,7 @@
 
 #[derive(Default)]
 struct Line {
-    pipe: Option<Pipe>,
+    stream: Option<BufferedStream>,
     waiting: VecDeque<Waiting>,
     put: usize,
     /// When something came last.
@@ -98,8 +98,8 @@
         if self.lines[place].owes() || self.in_use(place) {
             return;
         }
-        if let Some(pipe) = std::mem::take(&mut self.lines[place]).pipe {
-            pipe.close(reactor);
+        if let Some(stream) = std::mem::take(&mut self.lines[place]).stream {
+            stream.close(reactor);
         }
         let next = self.twin(place);
         if !self.answered(reactor, next) {
@@ -109,8 +109,8 @@
 
     fn connect(&mut self, reactor: &mut Reactor, place: usize) {
         let Some(at) = self.at else { return };
-        let pipe = Pipe::connect(reactor, at, Side::Counter, place).ok();
-        self.lines[place] = Line { pipe, heard: reactor.now, ..Line::default() };
+        let stream = BufferedStream::connect(reactor, at, Side::Counter, place).ok();
+        self.lines[place] = Line { stream, heard: reactor.now, ..Line::default() };
     }
 
     pub fn count(&mut self, reactor: &mut Reactor, name: CounterName, add: f64, keep: Duration) {
@@ -125,13 +125,13 @@
         if silent {
             self.end(reactor, place);
         }
-        if self.lines[place].pipe.is_none() {
+        if self.lines[place].stream.is_none() {
             self.connect(reactor, place);
         }
         let line = &mut self.lines[place];
-        let Some(pipe) = &mut line.pipe else { return counted(reactor, name, Counted::NotAdded) };
+        let Some(stream) = &mut line.stream else { return counted(reactor, name, Counted::NotAdded) };
         let keep = keep.as_millis().clamp(1, 60_000);
-        line.put += pipe.put(reactor, |out| drop(write!(out, "incr {} {add} {keep}\r\n", name.0)));
+        line.put += stream.put(reactor, |out| drop(write!(out, "incr {} {add} {keep}\r\n", name.0)));
         let number = reactor.serial();
         let due = reactor.at(reactor.now + limit, Due::Count { line: place, number });
         line.waiting.push_back(Waiting { number, name: Some(name), at: reactor.now, due, end: line.put });
@@ -152,24 +152,24 @@
     }
 
     pub fn ready(&mut self, reactor: &mut Reactor, place: usize, event: &Event) {
-        let Some(pipe) = self.lines.get_mut(place).and_then(|line| line.pipe.as_mut()) else { return };
-        if event.is_writable() && (!pipe.up || pipe.left() > 0) {
-            if pipe.opened().is_err() {
+        let Some(stream) = self.lines.get_mut(place).and_then(|line| line.stream.as_mut()) else { return };
+        if event.is_writable() && (!stream.up || stream.left() > 0) {
+            if stream.opened().is_err() {
                 return self.end(reactor, place);
             }
             self.flush(reactor, place);
         }
-        let Some(pipe) = &mut self.lines[place].pipe else { return };
+        let Some(stream) = &mut self.lines[place].stream else { return };
         if event.is_readable() || event.is_read_closed() || event.is_error() {
-            pipe.drained = false;
-            let open = pipe.read(reactor, reactor.scratch.len());
-            let more = !pipe.drained;
+            stream.drained = false;
+            let open = stream.read(reactor, reactor.scratch.len());
+            let more = !stream.drained;
             if !self.answered(reactor, place) || !open {
                 return self.end(reactor, place);
             }
             self.retire(reactor, place);
-            let room = |pipe: &Pipe| pipe.input.len() < reactor.scratch.len();
-            if more && self.lines[place].pipe.as_ref().is_some_and(room) {
+            let room = |stream: &BufferedStream| stream.input.len() < reactor.scratch.len();
+            if more && self.lines[place].stream.as_ref().is_some_and(room) {
                 self.ready(reactor, place, event);
             }
         }
@@ -183,10 +183,10 @@
             return true;
         }
         let line = &mut self.lines[place];
-        let Some(pipe) = &mut line.pipe else { return true };
+        let Some(stream) = &mut line.stream else { return true };
         let mut took = 0;
         loop {
-            let rest = &pipe.input[took..];
+            let rest = &stream.input[took..];
             let end = rest.iter().position(|byte| *byte == b'\n');
             // A line without end can't be read either, nor anything behind it.
             let Some(end) = end.or((rest.len() > LINE).then(|| rest.len() - 1)) else { break };
@@ -205,14 +205,14 @@
             }
         }
         if took > 0 {
-            pipe.take(reactor, took);
+            stream.take(reactor, took);
         }
         true
     }
 
     pub fn flush(&mut self, reactor: &mut Reactor, place: usize) {
-        let Some(pipe) = &mut self.lines[place].pipe else { return };
-        if pipe.flush(reactor).is_err() {
+        let Some(stream) = &mut self.lines[place].stream else { return };
+        if stream.flush(reactor).is_err() {
             self.end(reactor, place);
         }
     }
@@ -228,8 +228,8 @@
                 counted(reactor, name, how);
             }
         }
-        if let Some(pipe) = line.pipe {
-            pipe.close(reactor);
+        if let Some(stream) = line.stream {
+            stream.close(reactor);
         }
         self.retire(reactor, place);
     }
@@ -237,8 +237,8 @@
     /// Once a second: a connection on which nothing waits is kept open by a ping, which costs nothing.
     pub fn sweep(&mut self, reactor: &mut Reactor) {
         for line in self.lines.iter_mut().filter(|line| line.waiting.is_empty()) {
-            let Some(pipe) = line.pipe.as_mut().filter(|pipe| pipe.up) else { continue };
-            line.put += pipe.put(reactor, |out| out.extend_from_slice(b"ping\r\n"));
+            let Some(stream) = line.stream.as_mut().filter(|stream| stream.up) else { continue };
+            line.put += stream.put(reactor, |out| out.extend_from_slice(b"ping\r\n"));
             let (number, due) = (reactor.serial(), (reactor.now, 0));
             line.waiting.push_back(Waiting { number, name: None, at: reactor.now, due, end: line.put });
         }
@@ -257,6 +257,6 @@
     }
 
     fn written(&self) -> usize {
-        self.put - self.pipe.as_ref().map_or(0, Pipe::left)
+        self.put - self.stream.as_ref().map_or(0, BufferedStream::left)
     }
 }
--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -2,8 +2,8 @@
 //! connection, and a new connection where the old one breaks or stays silent. When to ask again is
 //! [`wellcrank_fleet::recall`]'s to say.
 
-use crate::pipe::Pipe;
 use crate::reactor::{Reactor, Side};
+use crate::stream::BufferedStream;
 use mio::event::Event;
 use nanorand::{Rng, WyRand};
 use serde::{Deserialize, Deserializer};
@@ -131,7 +131,7 @@
 pub struct Discovery {
     at: SocketAddr,
     host: String,
-    pipe: Option<Pipe>,
+    stream: Option<BufferedStream>,
     key: usize,
     wanted: bool,
     /// The version of the last list or change that this gateway has, also across connections: a call then asks
@@ -162,7 +162,7 @@
         Discovery {
             at,
             host: at.to_string(),
-            pipe: None,
+            stream: None,
             key: 0,
             wanted: false,
             rev,
@@ -190,7 +190,7 @@
     /// Begins or ends following the list.
     pub fn follow(&mut self, reactor: &mut Reactor, on: bool) {
         self.wanted = on;
-        if on && self.pipe.is_none() {
+        if on && self.stream.is_none() {
             self.connect(reactor);
         }
     }
@@ -205,8 +205,8 @@
         self.drop_connection(reactor);
         self.key += 1;
         self.asked = reactor.now;
-        self.pipe = Pipe::connect(reactor, self.at, Side::Discovery, self.key).ok();
-        if self.pipe.is_none() {
+        self.stream = BufferedStream::connect(reactor, self.at, Side::Discovery, self.key).ok();
+        if self.stream.is_none() {
             return self.failed(reactor, Failure::Unheard, "no connection");
         }
         self.ask(reactor);
@@ -216,8 +216,8 @@
     fn drop_connection(&mut self, reactor: &mut Reactor) {
         self.asking = false;
         self.next = self.next.min(reactor.now);
-        if let Some(pipe) = self.pipe.take() {
-            pipe.close(reactor);
+        if let Some(stream) = self.stream.take() {
+            stream.close(reactor);
         }
     }
 
@@ -243,7 +243,7 @@
     }
 
     fn ask(&mut self, reactor: &mut Reactor) {
-        let Some(pipe) = &mut self.pipe else { return };
+        let Some(stream) = &mut self.stream else { return };
         let wait = self.recall.watch();
         let query = match self.rev {
             Some(rev) => format!("?after={rev}&wait_ms={}", wait.as_millis()),
@@ -251,13 +251,13 @@
         };
         let host = &self.host;
         let call = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {host}\r\n\r\n");
-        pipe.put(reactor, |out| out.extend_from_slice(call.as_bytes()));
+        stream.put(reactor, |out| out.extend_from_slice(call.as_bytes()));
         (self.asking, self.asked) = (true, reactor.now);
     }
 
     /// Until when the call that is out may go unanswered, with the wait that it asks for.
     fn patience(&self) -> Duration {
-        let up = self.pipe.as_ref().is_some_and(|pipe| pipe.up);
+        let up = self.stream.as_ref().is_some_and(|stream| stream.up);
         let wait = match self.rev {
             _ if !up => self.recall.coming_up(),
             Some(_) => self.recall.watch() + self.recall.answer_time(false),
@@ -268,20 +268,20 @@
 
     /// Says what has come, if a whole answer has.
     pub fn ready(&mut self, reactor: &mut Reactor, key: usize, event: &Event) -> Option<News> {
-        let pipe = self.pipe.as_mut().filter(|_| key == self.key)?;
-        if event.is_writable() && pipe.left() > 0 {
+        let stream = self.stream.as_mut().filter(|_| key == self.key)?;
+        if event.is_writable() && stream.left() > 0 {
             self.flush(reactor, key);
         }
-        let pipe = self.pipe.as_mut()?;
+        let stream = self.stream.as_mut()?;
         let most = reactor.budget.bytes.max(LIST);
-        let open = pipe.read(reactor, most);
-        let read = match answer(&pipe.input, most) {
-            Ok(None) if pipe.input.len() >= most => Err(TOO_LONG.to_string()),
+        let open = stream.read(reactor, most);
+        let read = match answer(&stream.input, most) {
+            Ok(None) if stream.input.len() >= most => Err(TOO_LONG.to_string()),
             read => read,
         };
         let news = match read {
             Ok(Some((news, took))) => {
-                pipe.take(reactor, took);
+                stream.take(reactor, took);
                 if self.recall.failures() > 0 {
                     slog::info!(reactor.log, "discovery answers again"; "after" => self.recall.failures(),
                         "connection" => self.key, "asked" => ?reactor.now.saturating_sub(self.asked),
@@ -307,7 +307,7 @@
         };
         if !open {
             if self.asking {
-                let begun = self.pipe.as_ref().is_some_and(|pipe| !pipe.input.is_empty());
+                let begun = self.stream.as_ref().is_some_and(|stream| !stream.input.is_empty());
                 let why = if begun { "an answer cut short" } else { "the connection ended" };
                 self.failed(reactor, Failure::Unheard, why);
             } else {
@@ -323,15 +323,15 @@
     }
 
     pub fn flush(&mut self, reactor: &mut Reactor, key: usize) {
-        let Some(pipe) = self.pipe.as_mut().filter(|_| key == self.key) else { return };
-        if pipe.flush(reactor).is_err() {
+        let Some(stream) = self.stream.as_mut().filter(|_| key == self.key) else { return };
+        if stream.flush(reactor).is_err() {
             self.failed(reactor, Failure::Unheard, "the connection broke");
         }
     }
 
     /// Periodic: a new connection where there is none and one is due, or where the old one is silent for too long.
     pub fn sweep(&mut self, reactor: &mut Reactor) {
-        if self.wanted && !self.asking && self.pipe.is_some() {
+        if self.wanted && !self.asking && self.stream.is_some() {
             return self.ask(reactor);
         }
         if !self.wanted {
@@ -341,7 +341,7 @@
             if reactor.now < self.patience() {
                 return;
             }
-            let up = self.pipe.as_ref().is_some_and(|pipe| pipe.up);
+            let up = self.stream.as_ref().is_some_and(|stream| stream.up);
             self.failed(reactor, Failure::Unheard, if up { "no answer" } else { "it never came up" });
         }
         if reactor.now >= self.next {
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -10,10 +10,10 @@
 mod event_loop;
 mod leaving;
 mod peers;
-mod pipe;
 mod pool;
 mod reactor;
 mod resp;
+mod stream;
 mod tally;
 mod world;
 
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -6,9 +6,9 @@
 use crate::clients::Clients;
 use crate::discovery::Change;
 use crate::must;
-use crate::pipe::Pipe;
 use crate::reactor::{Due, DueId, News, Reactor, Serial, Side};
 use crate::resp::{self, Reply};
+use crate::stream::BufferedStream;
 use mio::event::Event;
 use slab::Slab;
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,7 +33,7 @@
 }
 
 struct Upstream {
-    pipe: Pipe,
+    stream: BufferedStream,
     server: ServerId,
     life: u32,
     connection: Serial,
@@ -152,8 +152,8 @@
             None if !self.make_room(reactor) => return over(reactor, Outcome::NotSent),
             None => {
                 let key = self.connections.vacant_key();
-                let pipe = match Pipe::connect(reactor, at, Side::Upstream, key) {
-                    Ok(pipe) => pipe,
+                let stream = match BufferedStream::connect(reactor, at, Side::Upstream, key) {
+                    Ok(stream) => stream,
                     Err(error) => {
                         use io::ErrorKind::{ConnectionRefused, HostUnreachable, NetworkUnreachable};
                         let theirs = [ConnectionRefused, HostUnreachable, NetworkUnreachable];
@@ -164,14 +164,14 @@
                 };
                 let connection = reactor.serial();
                 let (server, job) = (server.clone(), None);
-                self.connections.insert(Upstream { pipe, server, life, connection, job, used: now })
+                self.connections.insert(Upstream { stream, server, life, connection, job, used: now })
             }
         };
         let upstream = &mut self.connections[key];
         must!(reactor, upstream.job.is_none(), "one upstream try on a connection");
-        upstream.pipe.put(reactor, |out| asked.put(out, until.saturating_sub(now)));
+        upstream.stream.put(reactor, |out| asked.put(out, until.saturating_sub(now)));
         let coming_up =
-            if upstream.pipe.up { until } else { now + reactor.facts.span("limits.connect_timeout") };
+            if upstream.stream.up { until } else { now + reactor.facts.span("limits.connect_timeout") };
         let due =
             reactor.at(until.min(whole_by).min(coming_up), Due::Try { key, connection: upstream.connection });
         let (call, sent) = (call.clone(), now);
@@ -185,8 +185,8 @@
     fn idle(&mut self, reactor: &mut Reactor, server: &ServerId) -> Option<usize> {
         loop {
             let key = self.known.get_mut(server)?.idle.pop()?;
-            let pipe = &mut self.connections[key].pipe;
-            if pipe.read(reactor, resp::WHOLE) && pipe.input.is_empty() {
+            let stream = &mut self.connections[key].stream;
+            if stream.read(reactor, resp::WHOLE) && stream.input.is_empty() {
                 return Some(key);
             }
             self.close(reactor, key);
@@ -219,14 +219,14 @@
         };
         let Some(job) = &mut upstream.job else { return };
         let until = if job.whole { job.until } else { job.until.min(job.whole_by) };
-        if upstream.pipe.up && now < until {
+        if upstream.stream.up && now < until {
             if job.part {
                 return self.spoilt(reactor, key);
             }
             job.due = reactor.at(until, Due::Try { key, connection });
             return;
         }
-        let outcome = match (job.whole, upstream.pipe.up && !job.begun) {
+        let outcome = match (job.whole, upstream.stream.up && !job.begun) {
             (true, _) => Outcome::TimedOut,
             (_, true) => Outcome::NotSent,
             _ => Outcome::NoConnection,
@@ -243,17 +243,17 @@
         clients: &mut Clients,
     ) {
         let Some(upstream) = self.connections.get_mut(key) else { return };
-        if event.is_writable() && upstream.pipe.left() > 0 {
-            if upstream.pipe.opened().is_err() {
+        if event.is_writable() && upstream.stream.left() > 0 {
+            if upstream.stream.opened().is_err() {
                 return self.fail(reactor, key);
             }
             self.flush(reactor, key, calls);
         }
         let Some(upstream) = self.connections.get_mut(key) else { return };
         if event.is_readable() || event.is_read_closed() || event.is_error() {
-            upstream.pipe.drained = false;
-            let open = upstream.pipe.read(reactor, resp::WHOLE);
-            let more = !upstream.pipe.drained;
+            upstream.stream.drained = false;
+            let open = upstream.stream.read(reactor, resp::WHOLE);
+            let more = !upstream.stream.drained;
             self.answered(reactor, key, calls, clients);
             if !self.connections.contains(key) {
                 return;
@@ -270,12 +270,12 @@
     /// Hands a whole answer to the try that waits for it.
     fn answered(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls, clients: &mut Clients) {
         let upstream = &mut self.connections[key];
-        if upstream.pipe.input.is_empty() {
+        if upstream.stream.input.is_empty() {
             return;
         }
         // What comes before the command has gone out is no answer to it.
         let Some(job) = upstream.job.as_mut().filter(|job| job.whole) else { return self.fail(reactor, key) };
-        let (reply, took) = match resp::reply(&upstream.pipe.input) {
+        let (reply, took) = match resp::reply(&upstream.stream.input) {
             Ok(Some(read)) => read,
             Ok(None) => {
                 if !std::mem::replace(&mut job.part, true) {
@@ -315,11 +315,11 @@
         let end = Ended { outcome, latency, closed: false, settled, load };
         reactor.news.push_back(News::Ended(job.call, job.number, end));
         let upstream = &mut self.connections[key];
-        upstream.pipe.take(reactor, took);
+        upstream.stream.take(reactor, took);
         upstream.used = reactor.now;
         let life = upstream.life;
         let known = self.known.get_mut(&upstream.server).filter(|known| known.ready && known.life == life);
-        match known.filter(|_| upstream.pipe.input.is_empty()) {
+        match known.filter(|_| upstream.stream.input.is_empty()) {
             Some(known) => known.idle.push(key),
             None => self.close(reactor, key),
         }
@@ -342,9 +342,9 @@
             reactor.tally.lapsed += 1;
             return self.end(reactor, key, Outcome::NotSent);
         }
-        match upstream.pipe.flush(reactor) {
+        match upstream.stream.flush(reactor) {
             Ok(moved) => {
-                let left = upstream.pipe.left();
+                let left = upstream.stream.left();
                 if let Some(job) = &mut upstream.job {
                     job.begun |= moved;
                     job.whole = left == 0;
@@ -388,7 +388,7 @@
         if let Some(known) = self.known.get_mut(&upstream.server) {
             known.idle.retain(|other| *other != key);
         }
-        upstream.pipe.close(reactor);
+        upstream.stream.close(reactor);
     }
 
     /// Closes the connections to a server that carry nothing.
--- a/edge/src/pipe.rs
+++ b/edge/src/stream.rs
@@ -10,7 +10,7 @@
 /// Buffers that have grown past this are given back once they are empty.
 const KEPT: usize = 4096;
 
-pub struct Pipe {
+pub struct BufferedStream {
     socket: TcpStream,
     token: Token,
     /// Connected, as far as a write or the poll has told.
@@ -24,13 +24,23 @@
     marked: bool,
 }
 
-impl Pipe {
-    pub fn connect(reactor: &mut Reactor, at: SocketAddr, side: Side, key: usize) -> io::Result<Pipe> {
-        Pipe::new(reactor, TcpStream::connect(at)?, side, key, false)
+impl BufferedStream {
+    pub fn connect(
+        reactor: &mut Reactor,
+        at: SocketAddr,
+        side: Side,
+        key: usize,
+    ) -> io::Result<BufferedStream> {
+        BufferedStream::new(reactor, TcpStream::connect(at)?, side, key, false)
     }
 
-    pub fn accepted(reactor: &mut Reactor, socket: TcpStream, side: Side, key: usize) -> io::Result<Pipe> {
-        Pipe::new(reactor, socket, side, key, true)
+    pub fn accepted(
+        reactor: &mut Reactor,
+        socket: TcpStream,
+        side: Side,
+        key: usize,
+    ) -> io::Result<BufferedStream> {
+        BufferedStream::new(reactor, socket, side, key, true)
     }
 
     fn new(
@@ -39,13 +49,13 @@
         side: Side,
         key: usize,
         up: bool,
-    ) -> io::Result<Pipe> {
+    ) -> io::Result<BufferedStream> {
         let token = side.token(key);
         reactor.registry.register(&mut socket, token, Interest::READABLE | Interest::WRITABLE)?;
         // Without it small answers would wait for the other side's acknowledgement.
         let _ = socket.set_nodelay(true);
         let (input, output, done) = (Vec::new(), Vec::new(), 0);
-        Ok(Pipe { socket, token, up, drained: false, input, output, done, marked: false })
+        Ok(BufferedStream { socket, token, up, drained: false, input, output, done, marked: false })
     }
 
     /// Has `write` add to the output; it goes out at the end of the turn. Says how many bytes it added.
