--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -3,7 +3,7 @@
 
 use crate::calls::{self, Asked, Calls, Open, Place};
 use crate::must;
-use crate::reactor::{News, Reactor, Serial, Side};
+use crate::reactor::{Notification, Reactor, Serial, Side};
 use crate::resp;
 use crate::stream::BufferedStream;
 use mio::net::TcpListener;
@@ -225,7 +225,7 @@
         for slot in client.slots {
             reactor.freed(slot.answer.map_or(0, |answer| answer.len()));
             if let Some(call) = slot.call.and_then(|call| calls.left(call)) {
-                reactor.news.push_back(News::Gone(call));
+                reactor.notifications.push_back(Notification::Gone(call));
             }
         }
         client.stream.close(reactor);
@@ -383,7 +383,7 @@
         self.slots.back_mut().expect("pushed for this command").call = Some(serial);
         reactor.held += asked.size();
         calls.open(serial, Open { asked, until, tries: 0, place, answered: false, left: false });
-        reactor.news.push_back(News::Arrived(arrival));
+        reactor.notifications.push_back(Notification::Arrived(arrival));
     }
 
     fn answer(&mut self, reactor: &mut Reactor, number: u64, write: impl FnOnce(&mut Vec<u8>)) {
--- a/edge/src/counter.rs
+++ b/edge/src/counter.rs
@@ -3,7 +3,7 @@
 //! dropped. Where the counter moves, each line has a successor, which is heard once the old one owes no answer.
 
 use crate::must;
-use crate::reactor::{Due, DueId, News, Reactor, Serial, Side};
+use crate::reactor::{Due, DueId, Notification, Reactor, Serial, Side};
 use crate::stream::BufferedStream;
 use mio::event::Event;
 use std::collections::VecDeque;
@@ -56,7 +56,7 @@
 }
 
 fn counted(reactor: &mut Reactor, name: CounterName, counted: Counted) {
-    reactor.news.push_back(News::Counted(name, counted));
+    reactor.notifications.push_back(Notification::Counted(name, counted));
 }
 
 impl Counter {
--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -16,7 +16,7 @@
 
 /// A list or a change of it, as discovery words it.
 #[derive(Deserialize)]
-pub struct News {
+pub struct ListUpdate {
     rev: u64,
     all: bool,
     #[serde(default)]
@@ -81,7 +81,7 @@
     pub wrong: Vec<String>,
 }
 
-impl News {
+impl ListUpdate {
     pub fn rev(&self) -> u64 {
         self.rev
     }
@@ -267,7 +267,7 @@
     }
 
     /// Says what has come, if a whole answer has.
-    pub fn ready(&mut self, reactor: &mut Reactor, key: usize, event: &Event) -> Option<News> {
+    pub fn ready(&mut self, reactor: &mut Reactor, key: usize, event: &Event) -> Option<ListUpdate> {
         let stream = self.stream.as_mut().filter(|_| key == self.key)?;
         if event.is_writable() && stream.left() > 0 {
             self.flush(reactor, key);
@@ -357,7 +357,7 @@
 
 /// Takes a whole HTTP answer off the front, past 1xx ones: its list, and the bytes that it took. An answer of more
 /// than `most` bytes is wrong.
-fn answer(bytes: &[u8], most: usize) -> Result<Option<(News, usize)>, String> {
+fn answer(bytes: &[u8], most: usize) -> Result<Option<(ListUpdate, usize)>, String> {
     let mut headers = [httparse::EMPTY_HEADER; 32];
     let mut head = httparse::Response::new(&mut headers);
     let start = match head.parse(bytes).map_err(|error| error.to_string())? {
--- a/edge/src/discovery/tests.rs
+++ b/edge/src/discovery/tests.rs
@@ -19,7 +19,7 @@
 }
 
 /// What a gateway with little memory takes.
-fn read(bytes: &[u8]) -> Result<Option<(News, usize)>, String> {
+fn read(bytes: &[u8]) -> Result<Option<(ListUpdate, usize)>, String> {
     answer(bytes, LIST)
 }
 
--- a/edge/src/event_loop.rs
+++ b/edge/src/event_loop.rs
@@ -1,7 +1,7 @@
 //! The loop: one poll a turn. What comes in is put in line for the decisions; what they ask for is done at once, and
 //! written when the turn ends.
 
-use crate::reactor::{Due, News};
+use crate::reactor::{Due, Notification};
 use crate::world::World;
 use mio::{Events, Poll};
 use std::cell::RefCell;
@@ -54,25 +54,25 @@
     loop {
         let (news, now) = {
             let reactor = &mut world.borrow_mut().reactor;
-            let Some(news) = reactor.news.pop_front() else { return };
+            let Some(news) = reactor.notifications.pop_front() else { return };
             reactor.now = reactor.clock.now();
             (news, reactor.now)
         };
         control.tell_time(now);
         match news {
             // Its client may have left in the same turn: nothing is begun for it.
-            News::Arrived(arrival) => {
+            Notification::Arrived(arrival) => {
                 world.borrow_mut().reactor.tally.calls += 1;
                 if world.borrow().calls.is_open(&arrival.call) {
                     control.arrived(arrival);
                 }
             }
-            News::Gone(call) => {
+            Notification::Gone(call) => {
                 world.borrow_mut().left(&call);
                 control.gone(&call);
             }
-            News::Expired(call) => control.expired(&call),
-            News::Ended(call, number, mut end) => {
+            Notification::Expired(call) => control.expired(&call),
+            Notification::Ended(call, number, mut end) => {
                 world.borrow_mut().reactor.tally.ended(end.outcome);
                 end.closed |= !world.borrow().calls.is_open(&call);
                 let closed = end.closed;
@@ -81,9 +81,9 @@
                     world.borrow_mut().forget(&call);
                 }
             }
-            News::Counted(name, counted) => control.counted(name, counted),
-            News::Listed(whole, lines) => control.listed(whole, lines),
-            News::Woken(token) => control.woken(token),
+            Notification::Counted(name, counted) => control.counted(name, counted),
+            Notification::Listed(whole, lines) => control.listed(whole, lines),
+            Notification::Woken(token) => control.woken(token),
         }
     }
 }
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -43,7 +43,7 @@
     peers: Vec<SocketAddr>,
     peers_all: Option<SocketAddr>,
     pub counter: Option<SocketAddr>,
-    known: Option<discovery::News>,
+    known: Option<discovery::ListUpdate>,
     settings: Value,
 }
 
@@ -83,7 +83,7 @@
     let counter = counter::Counter::new(&mut reactor, told.counter);
     let seed =
         u64::from_str_radix(&told.seed, 16).map_err(|error| format!("seed {:?}: {error}", told.seed))?;
-    let known = told.known.as_ref().filter(|known| !known.is_empty()).map(discovery::News::rev);
+    let known = told.known.as_ref().filter(|known| !known.is_empty()).map(discovery::ListUpdate::rev);
     let now = reactor.now;
     let discovery = discovery::Discovery::new(told.discovery, known, seed ^ 0x5eed_d15c, &reactor);
     let world = Rc::new(RefCell::new(world::World {
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -6,7 +6,7 @@
 use crate::clients::Clients;
 use crate::discovery::Change;
 use crate::must;
-use crate::reactor::{Due, DueId, News, Reactor, Serial, Side};
+use crate::reactor::{Due, DueId, Notification, Reactor, Serial, Side};
 use crate::resp::{self, Reply};
 use crate::stream::BufferedStream;
 use mio::event::Event;
@@ -61,7 +61,7 @@
 fn ended(reactor: &mut Reactor, call: CallId, number: TryNumber, outcome: Outcome, sent: Duration) {
     let latency = reactor.now.saturating_sub(sent);
     let end = Ended { outcome, latency, closed: false, settled: None, load: BTreeMap::new() };
-    reactor.news.push_back(News::Ended(call, number, end));
+    reactor.notifications.push_back(Notification::Ended(call, number, end));
 }
 
 impl Pool {
@@ -313,7 +313,7 @@
         let Some(job) = self.take_job(reactor, key) else { return };
         let latency = reactor.now.saturating_sub(job.sent);
         let end = Ended { outcome, latency, closed: false, settled, load };
-        reactor.news.push_back(News::Ended(job.call, job.number, end));
+        reactor.notifications.push_back(Notification::Ended(job.call, job.number, end));
         let upstream = &mut self.connections[key];
         upstream.stream.take(reactor, took);
         upstream.used = reactor.now;
--- a/edge/src/reactor.rs
+++ b/edge/src/reactor.rs
@@ -51,7 +51,7 @@
 pub type Serial = u64;
 
 /// Something for the decisions.
-pub enum News {
+pub enum Notification {
     Arrived(Arrival),
     Gone(CallId),
     /// Its time is up sooner than it was told.
@@ -79,7 +79,7 @@
     pub now: Duration,
     pub facts: Rc<Facts>,
     pub budget: Budget,
-    pub news: VecDeque<News>,
+    pub notifications: VecDeque<Notification>,
     /// Connections with something to write.
     pub written: Vec<Token>,
     pub scratch: Box<[u8]>,
@@ -105,7 +105,7 @@
             clock,
             facts,
             budget,
-            news: VecDeque::new(),
+            notifications: VecDeque::new(),
             written: Vec::new(),
             scratch: vec![0; 64 * 1024].into(),
             held: 0,
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -8,7 +8,7 @@
 use crate::leaving::Leaving;
 use crate::peers::Peers;
 use crate::pool::Pool;
-use crate::reactor::{Due, News, Reactor, Side};
+use crate::reactor::{Due, Notification, Reactor, Side};
 use mio::event::Event;
 use signal_hook::consts::SIGHUP;
 use signal_hook_mio::v1_0::Signals;
@@ -59,7 +59,7 @@
     }
 
     /// A list or a change, from discovery or from the gateway's own configuration.
-    pub fn listed(&mut self, news: discovery::News) {
+    pub fn listed(&mut self, news: discovery::ListUpdate) {
         let mut change = news.change();
         let log = &self.reactor.log;
         if let Some(first) = change.wrong.first() {
@@ -74,7 +74,7 @@
                 "leaving" => are(Phase::Draining), "gone" => are(Phase::Gone));
             let told = lines.iter().map(|(line, _)| line.clone()).collect();
             self.pool.listed(&mut self.reactor, whole, lines);
-            self.reactor.news.push_back(News::Listed(whole, told));
+            self.reactor.notifications.push_back(Notification::Listed(whole, told));
         }
         self.clients.ready = true;
     }
@@ -85,7 +85,7 @@
             Due::Try { key, connection } => self.pool.due(reactor, key, connection),
             Due::Count { line, number } => self.counter.due(reactor, line, number),
             Due::Wake(token) => {
-                reactor.news.push_back(News::Woken(token));
+                reactor.notifications.push_back(Notification::Woken(token));
                 if token == TICK_TOKEN {
                     self.sweep();
                 }
@@ -106,7 +106,7 @@
             clients.close_idle(reactor, calls);
         }
         if self.stopping.is_some_and(|leaving| leaving.answers <= reactor.now) {
-            reactor.news.extend(calls.unanswered().map(News::Expired));
+            reactor.notifications.extend(calls.unanswered().map(Notification::Expired));
         }
         clients.sweep_idle(reactor, calls);
         self.discovery.sweep(reactor);
