--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -210,7 +210,7 @@
                 }
                 let quiet = client.quiet();
                 self.room |= quiet;
-                let leaves = reactor.leaving && client.idle(reactor);
+                let leaves = reactor.shutting_down && client.idle(reactor);
                 if (client.closing && quiet) || (leaves && self.stays_idle(reactor, key, calls)) {
                     self.close(reactor, key, calls);
                 }
--- a/edge/src/event_loop.rs
+++ b/edge/src/event_loop.rs
@@ -49,7 +49,7 @@
     }
 }
 
-/// Hands the decisions what has come, one by one, each at its time.
+/// SocketPort the decisions what has come, one by one, each at its time.
 fn hand_over(world: &Rc<RefCell<World>>, control: &mut Control) {
     loop {
         let (news, now) = {
@@ -89,9 +89,9 @@
 }
 
 /// What the decisions ask for, done on the sockets.
-pub struct Hands(pub Rc<RefCell<World>>);
+pub struct SocketPort(pub Rc<RefCell<World>>);
 
-impl Port for Hands {
+impl Port for SocketPort {
     fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration, whole_by: Duration) {
         self.0.borrow_mut().send(call, server, timeout, whole_by);
     }
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -8,11 +8,11 @@
 mod counter;
 mod discovery;
 mod event_loop;
-mod leaving;
 mod peers;
 mod pool;
 mod reactor;
 mod resp;
+mod shutdown;
 mod stream;
 mod tally;
 mod world;
@@ -99,7 +99,7 @@
         seconds: 0,
         next_second: now,
     }));
-    let port = event_loop::Hands(world.clone());
+    let port = event_loop::SocketPort(world.clone());
     let mut control = Control::new((*facts).clone(), seed, now, Box::new(port));
     {
         let world = &mut *world.borrow_mut();
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -267,7 +267,7 @@
         }
     }
 
-    /// Hands a whole answer to the try that waits for it.
+    /// SocketPort a whole answer to the try that waits for it.
     fn answered(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls, clients: &mut Clients) {
         let upstream = &mut self.connections[key];
         if upstream.stream.input.is_empty() {
--- a/edge/src/reactor.rs
+++ b/edge/src/reactor.rs
@@ -88,7 +88,7 @@
     /// The poll says that the other side has ended: reads go on until they meet the end.
     pub ending: bool,
     /// The gateway stops: a connection is closed as soon as nothing is open on it.
-    pub leaving: bool,
+    pub shutting_down: bool,
     pub tally: Tally,
     pub log: Logger,
     due: BTreeMap<DueId, Due>,
@@ -110,7 +110,7 @@
             scratch: vec![0; 64 * 1024].into(),
             held: 0,
             ending: false,
-            leaving: false,
+            shutting_down: false,
             tally: Tally::default(),
             log,
             due: BTreeMap::new(),
--- a/edge/src/leaving.rs
+++ b/edge/src/shutdown.rs
@@ -12,17 +12,17 @@
 const SOONER: Duration = Duration::from_millis(200);
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Leaving {
+pub struct GracefulShutdown {
     /// From then on connections are closed between two API calls: others have had the time to connect and to notice.
     pub closes: Duration,
     /// From then on every API call is answered at once.
     pub answers: Duration,
 }
 
-impl Leaving {
+impl GracefulShutdown {
     /// Told to stop at `now`.
-    pub fn new(now: Duration, facts: &Facts) -> Leaving {
-        Leaving {
+    pub fn new(now: Duration, facts: &Facts) -> GracefulShutdown {
+        GracefulShutdown {
             closes: now + facts.span("limits.connect_timeout") * 2,
             answers: now + longest_timeout(facts).min(LONGEST) + (MORE - SOONER),
         }
--- a/edge/src/leaving/tests.rs
+++ b/edge/src/shutdown/tests.rs
@@ -11,6 +11,6 @@
         facts
     };
     let (start, ms) = (Duration::from_secs(9), Duration::from_millis);
-    assert_eq!(Leaving::new(start, &facts(&[0.6, 0.4])).answers, start + ms(1100));
-    assert_eq!(Leaving::new(start, &facts(&[0.6, 20.0])).answers, start + ms(3500));
+    assert_eq!(GracefulShutdown::new(start, &facts(&[0.6, 0.4])).answers, start + ms(1100));
+    assert_eq!(GracefulShutdown::new(start, &facts(&[0.6, 20.0])).answers, start + ms(3500));
 }
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -5,10 +5,10 @@
 use crate::clients::Clients;
 use crate::counter::Counter;
 use crate::discovery::{self, Discovery};
-use crate::leaving::Leaving;
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::reactor::{Due, Notification, Reactor, Side};
+use crate::shutdown::GracefulShutdown;
 use mio::event::Event;
 use signal_hook::consts::SIGHUP;
 use signal_hook_mio::v1_0::Signals;
@@ -25,7 +25,7 @@
     pub peers: Peers,
     pub signals: Signals,
     /// Told to stop.
-    pub stopping: Option<Leaving>,
+    pub stopping: Option<GracefulShutdown>,
     /// Seconds since the start, and when the next one is due.
     pub seconds: u64,
     pub next_second: Duration,
@@ -51,7 +51,7 @@
                         reread(reactor, &mut self.counter, &mut self.discovery);
                     } else if self.stopping.is_none() {
                         slog::info!(reactor.log, "stopping: still answering"; "open" => calls.len());
-                        self.stopping = Some(Leaving::new(reactor.now, &reactor.facts));
+                        self.stopping = Some(GracefulShutdown::new(reactor.now, &reactor.facts));
                     }
                 }
             }
@@ -100,9 +100,9 @@
 
     /// What is done now and then; hangs on the decisions' one periodic timer.
     fn sweep(&mut self) {
-        self.reactor.leaving = self.leaving();
+        self.reactor.shutting_down = self.leaving();
         let World { reactor, calls, clients, pool, .. } = self;
-        if reactor.leaving {
+        if reactor.shutting_down {
             clients.close_idle(reactor, calls);
         }
         if self.stopping.is_some_and(|leaving| leaving.answers <= reactor.now) {
