--- a/edge/src/calls.rs
+++ b/edge/src/calls.rs
@@ -8,7 +8,7 @@
 
 /// A client's command, checked once: its bytes, where its words stand, and what the decisions need of it.
 #[derive(Debug)]
-pub struct Asked {
+pub struct ApiCall {
     bytes: Box<[u8]>,
     words: Words,
     /// The client's own number for it.
@@ -52,7 +52,7 @@
     number.ok_or("a wrong number")
 }
 
-impl Asked {
+impl ApiCall {
     /// Whether a command is that of an API call, whatever else it says.
     pub fn is_named(bytes: &[u8], words: &Words) -> bool {
         let name = words.first().map_or(&[][..], |word| &bytes[word.clone()]);
@@ -61,7 +61,7 @@
 
     /// Checks the words of an API call, the one place where that is done: which route, whose, for how long.
     /// Says what is wrong.
-    pub fn new(bytes: &[u8], words: Words, facts: &Facts, calls: &Calls) -> Result<Asked, &'static str> {
+    pub fn new(bytes: &[u8], words: Words, facts: &Facts, calls: &Calls) -> Result<ApiCall, &'static str> {
         let word = |place: usize| words.get(place).map_or(&[][..], |word| &bytes[word.clone()]);
         let query = word(0).eq_ignore_ascii_case(b"SVC.QUERY");
         if words.len() != if query { 4 } else { 5 } {
@@ -116,7 +116,7 @@
         let customer: CustomerId = format!("{customer:016x}").as_str().into();
         let (wait, first, spread) = (Duration::from_secs_f64(wait / 1000.0), first as u32, spread as u32);
         let bytes = bytes.into();
-        Ok(Asked { bytes, words, number, customer, route, plan, wait, units, first, spread })
+        Ok(ApiCall { bytes, words, number, customer, route, plan, wait, units, first, spread })
     }
 
     pub fn size(&self) -> usize {
@@ -156,7 +156,7 @@
 }
 
 pub struct Open {
-    pub asked: Asked,
+    pub api_call: ApiCall,
     pub until: Duration,
     pub tries: u32,
     pub place: Place,
@@ -199,7 +199,7 @@
     }
 
     pub fn open(&mut self, serial: Serial, open: Open) {
-        self.numbers.insert(open.asked.number);
+        self.numbers.insert(open.api_call.number);
         self.open.insert(serial, open);
     }
 
@@ -226,7 +226,7 @@
 
     pub fn remove(&mut self, call: &CallId) -> Option<Open> {
         let open = self.open.remove(&serial(call))?;
-        self.numbers.remove(&open.asked.number);
+        self.numbers.remove(&open.api_call.number);
         Some(open)
     }
 }
--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -1,7 +1,7 @@
 //! Clients' connections: takes their commands as they come, piped or in pieces, and answers each in its
 //! order.
 
-use crate::calls::{self, Asked, Calls, Open, Place};
+use crate::calls::{self, ApiCall, Calls, Open, Place};
 use crate::must;
 use crate::reactor::{Notification, Reactor, Serial, Side};
 use crate::resp;
@@ -174,7 +174,7 @@
                     // Each open API call may yet bring a whole value.
                     let crowded = reactor.held + calls.len() * resp::VALUE > reactor.budget.bytes;
                     let full = crowded || (most > 0 && calls.len() >= most);
-                    let opens = Asked::is_named(bytes, &words);
+                    let opens = ApiCall::is_named(bytes, &words);
                     client.held_up = (full && opens) || client.stream.left() > resp::WHOLE;
                     if client.held_up {
                         break;
@@ -350,10 +350,12 @@
         let number = self.slot();
         let word = |place: usize| words.get(place).map_or(&[][..], |word| &bytes[word.clone()]);
         let said = match word(0).to_ascii_uppercase().as_slice() {
-            _ if Asked::is_named(bytes, &words) => match Asked::new(bytes, words, &reactor.facts, calls) {
-                Ok(asked) => return self.call(reactor, key, number, asked, calls),
-                Err(why) => format!("-ERR {why}\r\n"),
-            },
+            _ if ApiCall::is_named(bytes, &words) => {
+                match ApiCall::new(bytes, words, &reactor.facts, calls) {
+                    Ok(api_call) => return self.call(reactor, key, number, api_call, calls),
+                    Err(why) => format!("-ERR {why}\r\n"),
+                }
+            }
             b"PING" if ready => {
                 self.known = true;
                 "+PONG\r\n".into()
@@ -365,24 +367,24 @@
         self.answer(reactor, number, |out| out.extend_from_slice(said.as_bytes()));
     }
 
-    fn call(&mut self, reactor: &mut Reactor, key: usize, number: u64, asked: Asked, calls: &mut Calls) {
+    fn call(&mut self, reactor: &mut Reactor, key: usize, number: u64, api_call: ApiCall, calls: &mut Calls) {
         let serial = reactor.serial();
-        let until = reactor.now + asked.wait;
+        let until = reactor.now + api_call.wait;
         let arrival = Arrival {
             call: calls::id(serial),
-            customer: asked.customer.clone(),
-            plan: asked.plan.clone(),
-            route: asked.route.clone(),
-            units: asked.units,
+            customer: api_call.customer.clone(),
+            plan: api_call.plan.clone(),
+            route: api_call.route.clone(),
+            units: api_call.units,
             until,
-            first: asked.first,
-            spread: asked.spread,
+            first: api_call.first,
+            spread: api_call.spread,
         };
         self.known = true;
         let place = Place { key, connection: self.connection, number };
         self.slots.back_mut().expect("pushed for this command").call = Some(serial);
-        reactor.held += asked.size();
-        calls.open(serial, Open { asked, until, tries: 0, place, answered: false, left: false });
+        reactor.held += api_call.size();
+        calls.open(serial, Open { api_call, until, tries: 0, place, answered: false, left: false });
         reactor.notifications.push_back(Notification::Arrived(arrival));
     }
 
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -2,7 +2,7 @@
 //! app server would. Whether the last byte of a command was written decides if it may have run; nothing is
 //! sent again from here.
 
-use crate::calls::{Asked, Calls};
+use crate::calls::{ApiCall, Calls};
 use crate::clients::Clients;
 use crate::discovery::Change;
 use crate::must;
@@ -139,7 +139,7 @@
         (call, number): (&CallId, TryNumber),
         server: &ServerId,
         (until, whole_by): (Duration, Duration),
-        asked: &Asked,
+        api_call: &ApiCall,
     ) {
         let now = reactor.now;
         let over = |reactor: &mut Reactor, outcome| ended(reactor, call.clone(), number, outcome, now);
@@ -169,7 +169,7 @@
         };
         let upstream = &mut self.connections[key];
         must!(reactor, upstream.job.is_none(), "one upstream try on a connection");
-        upstream.stream.put(reactor, |out| asked.put(out, until.saturating_sub(now)));
+        upstream.stream.put(reactor, |out| api_call.put(out, until.saturating_sub(now)));
         let coming_up =
             if upstream.stream.up { until } else { now + reactor.facts.span("limits.connect_timeout") };
         let due =
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -163,7 +163,7 @@
         if !open.wanted() || until <= now || (most > 0 && number.0 >= most) {
             return pool.not_sent(reactor, call, number);
         }
-        pool.send(reactor, (call, number), server, (until, whole_by), &open.asked);
+        pool.send(reactor, (call, number), server, (until, whole_by), &open.api_call);
     }
 
     /// The one final answer that the decisions give.
@@ -184,7 +184,7 @@
     /// The API call is over and the decisions know.
     pub fn forget(&mut self, call: &CallId) {
         if let Some(open) = self.calls.remove(call) {
-            self.reactor.freed(open.asked.size());
+            self.reactor.freed(open.api_call.size());
         }
     }
 }
