--- a/lab/src/referee.rs
+++ b/lab/src/referee.rs
@@ -258,15 +258,15 @@
         // The slack is a part of the ceiling or one of the largest API calls, whichever is more.
         let depth = (plan.ceiling_burst * more).max(plan.ceiling_burst + top);
         let rate = plan.ceiling_rate * more;
-        let purse = self.ceilings.entry(account).or_insert(Ceiling { left: depth, at: now });
-        purse.left = (purse.left + now.saturating_sub(purse.at).as_secs_f64() * rate).min(depth) - units;
-        purse.at = now;
-        if purse.left < 0.0 {
+        let bucket = self.ceilings.entry(account).or_insert(Ceiling { left: depth, at: now });
+        bucket.left = (bucket.left + now.saturating_sub(bucket.at).as_secs_f64() * rate).min(depth) - units;
+        bucket.at = now;
+        if bucket.left < 0.0 {
             let what = format!(
                 "account {account} of plan {} is {:.1} units past its ceiling",
-                plan.name, -purse.left
+                plan.name, -bucket.left
             );
-            purse.left = 0.0;
+            bucket.left = 0.0;
             self.breaks(Rule::Ceilings, now, Some(ask), Some(gateway), what);
         }
     }
--- a/lab/src/world/clients.rs
+++ b/lab/src/world/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: accounts under plans, spread unevenly over gateways; what they ask, when they come again. Arrivals
 //! wait for nobody's answer.
 
-use super::purse::Purse;
+use super::token_bucket::TokenBucket;
 use crate::experiment::Experiment;
 use nanorand::{Rng, WyRand};
 use std::time::Duration;
@@ -18,8 +18,8 @@
     /// Whether its clients come when they are told to.
     pub heeds: bool,
     /// What it may ask, and what was sent on for it: the truth that no gateway sees.
-    pub entitled: Purse,
-    pub sent: Purse,
+    pub entitled: TokenBucket,
+    pub sent: TokenBucket,
     /// Upstream tries out at once.
     pub out: f64,
 }
@@ -153,8 +153,8 @@
             calls,
             moved: rng.generate_range(0..16usize),
             heeds: rng.generate::<f64>() < terms.load.heeds,
-            entitled: Purse::full(it.rate, it.burst),
-            sent: Purse::full(it.rate, it.burst),
+            entitled: TokenBucket::full(it.rate, it.burst),
+            sent: TokenBucket::full(it.rate, it.burst),
             out: 0.0,
         }
     }
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -5,8 +5,8 @@
 pub mod agenda;
 pub mod clients;
 pub mod counter;
-pub mod purse;
 pub mod server;
+pub mod token_bucket;
 mod troubles;
 
 use crate::experiment::{Experiment, Group};
--- a/lab/src/world/purse.rs
+++ b/lab/src/world/token_bucket.rs
@@ -3,17 +3,17 @@
 use std::time::Duration;
 
 #[derive(Clone, Debug)]
-pub struct Purse {
+pub struct TokenBucket {
     pub rate: f64,
     pub depth: f64,
     pub left: f64,
     at: Duration,
 }
 
-impl Purse {
+impl TokenBucket {
     /// No rate and no depth: it never ends.
-    pub fn full(rate: f64, depth: f64) -> Purse {
-        Purse { rate, depth, left: depth, at: Duration::ZERO }
+    pub fn full(rate: f64, depth: f64) -> TokenBucket {
+        TokenBucket { rate, depth, left: depth, at: Duration::ZERO }
     }
 
     pub fn bounded(&self) -> bool {
--- a/src/control.rs
+++ b/src/control.rs
@@ -444,7 +444,7 @@
             return next(self, true);
         }
         let full = burst / account.spread;
-        let share = account.share.get_or_insert(Purse { left: if hard { 0.0 } else { full }, at: now });
+        let share = account.share.get_or_insert(TokenBucket { left: if hard { 0.0 } else { full }, at: now });
         let enough = share.pay(now, rate / account.spread, full.max(units), units);
         if account.block >= units {
             share.left = if enough { share.left } else { 0.0 };
@@ -658,11 +658,11 @@
         self.tries.insert(key, Box::new(over));
     }
 
-    /// A hard ceiling, kept by this gateway alone: its purse fills at the ceiling's rate, empty at a start
+    /// A hard ceiling, kept by this gateway alone: its token bucket fills at the ceiling's rate, empty at a start
     /// since an earlier life may have spent it; a send without the counter's word counts for all gateways.
     fn under_ceiling(&mut self, customer: &CustomerId, plan: &PlanName, units: f64, unsure: bool) -> bool {
         let (rate, depth) = (self.facts.plan(plan, "ceiling_rate"), self.facts.plan(plan, "ceiling_burst"));
-        let (now, start) = (self.now, Purse { left: 0.0, at: self.started });
+        let (now, start) = (self.now, TokenBucket { left: 0.0, at: self.started });
         let account = self.accounts.entry(customer.clone()).or_default();
         let price = if unsure { units * account.spread } else { units };
         rate <= 0.0 || account.ceiling.get_or_insert(start).pay(now, rate, depth, price)
--- a/src/state.rs
+++ b/src/state.rs
@@ -115,12 +115,12 @@
 }
 
 /// Units that refill with time.
-pub struct Purse {
+pub struct TokenBucket {
     pub left: f64,
     pub at: Duration,
 }
 
-impl Purse {
+impl TokenBucket {
     pub fn pay(&mut self, now: Duration, rate: f64, depth: f64, price: f64) -> bool {
         self.left = (self.left + now.saturating_sub(self.at).as_secs_f64() * rate).min(depth);
         self.at = now;
@@ -152,9 +152,9 @@
     pub waiting: Vec<Next<bool>>,
     pub refused_until: Duration,
     /// The even split, while it is used in silence.
-    pub share: Option<Purse>,
+    pub share: Option<TokenBucket>,
     /// What a hard ceiling leaves to this gateway.
-    pub ceiling: Option<Purse>,
+    pub ceiling: Option<TokenBucket>,
 }
 
 impl Account {
