A connection that the gateway ends is half-closed and read to its end before it closes

BufferedStream::close dropped the socket; over bytes that had come and were not read the system then resets the connection and takes the last answer along. The wait before connections are ended after SIGTERM was twice the connection time-out: at 50 ms the listener was gone while others still connect (0.4 s by the protocol), at over 1.9 s it was longer than the platform waits.

Change. edge/src/lingering.rs: flush, shut down sending, read and drop up to 1 MiB until the other side ends or for as long as a connection may take to come up (0.2 s to 1 s), then close; two such beyond the clients' budget, and they go first. Connections to app servers, counter and discovery are still closed at once: nobody waits for what is on them, and a try counts as out for as long as its connection is open. After SIGTERM connections are ended from 0.45 s on; 0.2 s before the kill all that has come whole is answered, nothing is read any more, and each connection ends behind its last answer. An answer that the counter owes then keeps no process from ending. The start of the shutdown is kept once (Reactor::shutdown).

--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -2,6 +2,7 @@
 //! order.
 
 use crate::calls::{self, ApiCall, Calls, Open, Place};
+use crate::lingering::Lingering;
 use crate::must;
 use crate::reactor::{Notification, Reactor, Serial, Side};
 use crate::resp;
@@ -18,6 +19,9 @@
 /// So long a connection may stand with nothing open: from then on it may be closed.
 const IDLE: Duration = Duration::from_secs(2);
 
+/// So many connections may linger beyond the clients' budget.
+const SPARE: usize = 2;
+
 /// What a command left behind: which API call it is, if any, and its answer if that came before its turn.
 struct Slot {
     call: Option<Serial>,
@@ -37,13 +41,14 @@
     known: bool,
     /// Input was left where it is, for want of room.
     held_up: bool,
-    /// What came is no RESP2: closed once all before it is answered.
+    /// Nothing more is read, as what came is no RESP2 or the gateway is at its end: ended once all is answered.
     closing: bool,
 }
 
 pub struct Clients {
     listener: TcpListener,
     connections: Slab<Client>,
+    lingering: Lingering,
     /// Accepting was left off for want of sockets; a connection has since ended or become idle.
     waiting: bool,
     room: bool,
@@ -62,18 +67,20 @@
         let longest_wait = calls::longest_timeout(&reactor.facts);
         let connections = Slab::new();
         let (waiting, room, ready, resume) = (false, false, false, vec![]);
-        Ok(Clients { listener, connections, waiting, room, resume, ready, longest_wait })
+        let lingering = Lingering::default();
+        Ok(Clients { listener, connections, lingering, waiting, room, resume, ready, longest_wait })
     }
 
+    /// Connections, with those that the gateway has ended and the client has not yet.
     pub fn len(&self) -> usize {
-        self.connections.len()
+        self.connections.len() + self.lingering.len()
     }
 
     /// Accepts what waits; when short of sockets an idle connection makes room, else the rest waits on.
     pub fn accept(&mut self, reactor: &mut Reactor, calls: &mut Calls) {
         self.waiting = false;
         loop {
-            // What goes for a new connection is closed only when there is one.
+            // What goes for a new connection is ended only when there is one.
             let full =
                 |clients: &Clients, reactor: &Reactor| clients.connections.len() >= reactor.budget.clients;
             let oldest = if full(self, reactor) { self.idle_longest(reactor, calls) } else { None };
@@ -93,8 +100,9 @@
                 }
             };
             if let Some(key) = oldest {
-                self.close(reactor, key, calls);
+                self.end(reactor, key, calls);
             }
+            while self.len() >= reactor.budget.clients + SPARE && self.lingering.give_up(reactor) {}
             let key = self.connections.vacant_key();
             if let Ok(stream) = BufferedStream::accepted(reactor, socket, Side::Client, key) {
                 let (connection, used) = (reactor.serial(), reactor.now);
@@ -210,26 +218,46 @@
                 }
                 let quiet = client.quiet();
                 self.room |= quiet;
-                let leaves = reactor.shutting_down && client.idle(reactor);
+                let leaves = reactor.closing() && client.idle(reactor);
                 if (client.closing && quiet) || (leaves && self.stays_idle(reactor, key, calls)) {
-                    self.close(reactor, key, calls);
+                    self.end(reactor, key, calls);
                 }
             }
             Err(_) => self.close(reactor, key, calls),
         }
     }
 
-    /// The client has gone, or is given up: its open API calls have nobody to answer any more.
+    /// Ends a connection with nothing open and all of its answers written.
+    fn end(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls) {
+        if let Some(client) = self.remove(reactor, key, calls) {
+            self.lingering.end(reactor, client.stream);
+        }
+    }
+
+    /// The client has gone, or does not take its answers.
     fn close(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls) {
-        let Some(client) = self.connections.try_remove(key) else { return };
-        for slot in client.slots {
+        if let Some(client) = self.remove(reactor, key, calls) {
+            client.stream.close(reactor);
+        }
+    }
+
+    /// What a connection that the gateway has ended still sends.
+    pub fn ending(&mut self, reactor: &mut Reactor, key: usize) {
+        self.lingering.ready(reactor, key);
+        self.room = true;
+    }
+
+    /// Open API calls of a connection that goes have nobody to answer any more.
+    fn remove(&mut self, reactor: &mut Reactor, key: usize, calls: &mut Calls) -> Option<Client> {
+        let mut client = self.connections.try_remove(key)?;
+        for slot in client.slots.drain(..) {
             reactor.freed(slot.answer.map_or(0, |answer| answer.len()));
             if let Some(call) = slot.call.and_then(|call| calls.left(call)) {
                 reactor.notifications.push_back(Notification::Gone(call));
             }
         }
-        client.stream.close(reactor);
         self.room = true;
+        Some(client)
     }
 
     /// Lets connections go on that an answer, a write or an end has made room for: those held up, and those
@@ -252,6 +280,7 @@
     /// At each tick: who has asked nothing that can be taken for so long, or has left a command unfinished, is
     /// told so and closed; so are clients between two API calls, where they hold most of the connections.
     pub fn sweep_idle(&mut self, reactor: &mut Reactor, calls: &mut Calls) {
+        self.room |= self.lingering.sweep(reactor);
         let (crowded, now) = (self.connections.len() * 2 > reactor.budget.clients, reactor.now);
         let over = |client: &Client| {
             let done = client.known && client.stream.input.is_empty();
@@ -261,7 +290,7 @@
             self.connections[key].stream.drained = false;
             self.pump(reactor, key, calls);
             match self.connections.get_mut(key).filter(|client| over(client)) {
-                Some(client) if client.stream.input.is_empty() => self.close(reactor, key, calls),
+                Some(client) if client.stream.input.is_empty() => self.end(reactor, key, calls),
                 Some(client) => client.malformed(reactor, "too slow a command"),
                 None => (),
             }
@@ -284,18 +313,35 @@
             });
             let Some((key, _)) = half.max_by_key(|(_, client)| client.stream.input.len()) else { break };
             slog::warn!(reactor.log, "memory is short: a half command is dropped"; "held" => reactor.held);
-            self.close(reactor, key, calls);
+            self.end(reactor, key, calls);
         }
         self.resume = self.keys(|client| client.held_up);
         self.room = true;
     }
 
-    /// The gateway stops: connections with nothing open are closed, unless something has just come.
-    pub fn close_idle(&mut self, reactor: &mut Reactor, calls: &mut Calls) {
+    /// The gateway stops: connections with nothing open are ended, unless something has just come.
+    pub fn end_idle(&mut self, reactor: &mut Reactor, calls: &mut Calls) {
         for key in self.keys(|client| client.idle(reactor)) {
             if self.connections.contains(key) && self.stays_idle(reactor, key, calls) {
-                self.close(reactor, key, calls);
+                self.end(reactor, key, calls);
+            }
+        }
+    }
+
+    /// The gateway is at its end: what has come whole by now is taken, nothing is read any more, and each connection
+    /// ends behind its last answer.
+    pub fn last_answers(&mut self, reactor: &mut Reactor, calls: &mut Calls) {
+        for key in self.keys(|client| !client.closing) {
+            if self.connections.contains(key) {
+                self.connections[key].stream.drained = false;
+                self.pump(reactor, key, calls);
             }
+            if let Some(client) = self.connections.get_mut(key) {
+                client.closing |= !client.held_up;
+            }
+        }
+        for key in self.keys(|client| client.closing && client.quiet()) {
+            self.end(reactor, key, calls);
         }
     }
 
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod counter;
 mod discovery;
 mod event_loop;
+mod lingering;
 mod peers;
 mod pool;
 mod reactor;
@@ -95,7 +96,6 @@
         discovery,
         peers,
         signals,
-        stopping: None,
         seconds: 0,
         next_second: now,
     }));
--- a/edge/src/reactor.rs
+++ b/edge/src/reactor.rs
@@ -3,6 +3,7 @@
 
 use crate::budget::Budget;
 use crate::clock::Clock;
+use crate::shutdown::GracefulShutdown;
 use crate::tally::Tally;
 use mio::{Registry, Token};
 use slog::Logger;
@@ -29,13 +30,22 @@
     Signal,
     Peers,
     Client,
+    Lingering,
     Upstream,
     Counter,
     Discovery,
 }
 
-const SIDES: [Side; 7] =
-    [Side::Listener, Side::Signal, Side::Peers, Side::Client, Side::Upstream, Side::Counter, Side::Discovery];
+const SIDES: [Side; 8] = [
+    Side::Listener,
+    Side::Signal,
+    Side::Peers,
+    Side::Client,
+    Side::Lingering,
+    Side::Upstream,
+    Side::Counter,
+    Side::Discovery,
+];
 
 impl Side {
     pub fn token(self, key: usize) -> Token {
@@ -87,8 +97,8 @@
     pub held: usize,
     /// The poll says that the other side has ended: reads go on until they meet the end.
     pub ending: bool,
-    /// The gateway stops: a connection is closed as soon as nothing is open on it.
-    pub shutting_down: bool,
+    /// Told to stop.
+    pub shutdown: Option<GracefulShutdown>,
     pub tally: Tally,
     pub log: Logger,
     due: BTreeMap<DueId, Due>,
@@ -110,7 +120,7 @@
             scratch: vec![0; 64 * 1024].into(),
             held: 0,
             ending: false,
-            shutting_down: false,
+            shutdown: None,
             tally: Tally::default(),
             log,
             due: BTreeMap::new(),
@@ -140,6 +150,16 @@
         Some(first.remove())
     }
 
+    /// Told to stop, and others have had the time to connect and to notice: connections are ended between API calls.
+    pub fn closing(&self) -> bool {
+        self.shutdown.is_some_and(|shutdown| shutdown.closes <= self.now)
+    }
+
+    /// Told to stop, and all that was taken is answered now, as the gateway is killed soon: nothing more is taken.
+    pub fn last_answers(&self) -> bool {
+        self.shutdown.is_some_and(|shutdown| shutdown.answers <= self.now)
+    }
+
     /// How long until something falls due.
     pub fn next_wait(&self) -> Option<Duration> {
         self.due.keys().next().map(|next| next.0.saturating_sub(self.clock.now()))
--- a/edge/src/shutdown.rs
+++ b/edge/src/shutdown.rs
@@ -11,6 +11,9 @@
 const MORE: Duration = Duration::from_millis(700);
 const SOONER: Duration = Duration::from_millis(200);
 
+/// Others connect for as long as 0.4 s after it, and every time limit is 50 ms longer.
+const NOTICE: Duration = Duration::from_millis(450);
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GracefulShutdown {
     /// From then on connections are closed between two API calls: others have had the time to connect and to notice.
@@ -23,7 +26,7 @@
     /// Told to stop at `now`.
     pub fn new(now: Duration, facts: &Facts) -> GracefulShutdown {
         GracefulShutdown {
-            closes: now + facts.span("limits.connect_timeout") * 2,
+            closes: now + NOTICE,
             answers: now + longest_timeout(facts).min(LONGEST) + (MORE - SOONER),
         }
     }
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -1,11 +1,12 @@
 //! One buffered TCP connection: reads until the socket is empty, collects what is to be written until the end
 //! of the turn, and tells whether all of it was.
 
+use crate::must;
 use crate::reactor::{Reactor, Side};
 use mio::net::TcpStream;
 use mio::{Interest, Token};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 
 /// Buffers that have grown past this are given back once they are empty.
 const KEPT: usize = 4096;
@@ -150,6 +151,31 @@
         }
     }
 
+    /// Shuts down sending; from now on the poll tells of it by another token. All must be written.
+    pub fn half_close(&mut self, reactor: &mut Reactor, side: Side, key: usize) -> io::Result<()> {
+        must!(reactor, self.left() == 0, "what was answered goes out before the end");
+        self.take(reactor, self.input.len());
+        self.token = side.token(key);
+        reactor.registry.reregister(&mut self.socket, self.token, Interest::READABLE)?;
+        self.socket.shutdown(Shutdown::Write)
+    }
+
+    /// Reads and drops what has come, `most` bytes in all. False once the other side has ended, the connection broke
+    /// or that is reached.
+    pub fn discard(&mut self, reactor: &mut Reactor, most: &mut usize) -> bool {
+        while *most > 0 {
+            let room = reactor.scratch.len().min(*most);
+            match self.socket.read(&mut reactor.scratch[..room]) {
+                Ok(0) => return false,
+                Ok(some) => *most -= some,
+                Err(error) if error.kind() == ErrorKind::Interrupted => (),
+                Err(error) => return error.kind() == ErrorKind::WouldBlock,
+            }
+        }
+        false
+    }
+
+    /// Closes at once. What has come and was not read resets the connection.
     pub fn close(mut self, reactor: &mut Reactor) {
         reactor.freed(self.input.len() + self.output.len());
         let _ = reactor.registry.deregister(&mut self.socket);
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -24,8 +24,6 @@
     pub discovery: Discovery,
     pub peers: Peers,
     pub signals: Signals,
-    /// Told to stop.
-    pub stopping: Option<GracefulShutdown>,
     /// Seconds since the start, and when the next one is due.
     pub seconds: u64,
     pub next_second: Duration,
@@ -37,6 +35,7 @@
         match Side::of(event.token()) {
             (Side::Listener, _) => clients.accept(reactor, calls),
             (Side::Client, key) => clients.ready(reactor, key, calls),
+            (Side::Lingering, key) => clients.ending(reactor, key),
             (Side::Upstream, key) => pool.ready(reactor, key, event, calls, clients),
             (Side::Counter, key) => self.counter.ready(reactor, key, event),
             (Side::Discovery, key) => {
@@ -49,9 +48,9 @@
                 for signal in self.signals.pending() {
                     if signal == SIGHUP {
                         reread(reactor, &mut self.counter, &mut self.discovery);
-                    } else if self.stopping.is_none() {
+                    } else if reactor.shutdown.is_none() {
                         slog::info!(reactor.log, "stopping: still answering"; "open" => calls.len());
-                        self.stopping = Some(GracefulShutdown::new(reactor.now, &reactor.facts));
+                        reactor.shutdown = Some(GracefulShutdown::new(reactor.now, &reactor.facts));
                     }
                 }
             }
@@ -93,20 +92,14 @@
         }
     }
 
-    /// Told to stop, and others have had the time to connect and to notice; until then all goes on as before.
-    fn leaving(&self) -> bool {
-        self.stopping.is_some_and(|leaving| leaving.closes < self.reactor.now)
-    }
-
     /// What is done now and then; hangs on the decisions' one periodic timer.
     fn sweep(&mut self) {
-        self.reactor.shutting_down = self.leaving();
         let World { reactor, calls, clients, pool, .. } = self;
-        if reactor.shutting_down {
-            clients.close_idle(reactor, calls);
-        }
-        if self.stopping.is_some_and(|leaving| leaving.answers <= reactor.now) {
+        if reactor.last_answers() {
+            clients.last_answers(reactor, calls);
             reactor.notifications.extend(calls.unanswered().map(Notification::Expired));
+        } else if reactor.closing() {
+            clients.end_idle(reactor, calls);
         }
         clients.sweep_idle(reactor, calls);
         self.discovery.sweep(reactor);
@@ -126,8 +119,10 @@
 
     /// Told to stop, and nobody is left to answer.
     pub fn finished(&mut self) -> bool {
-        let quiet = self.clients.len() == 0 && self.calls.len() == 0 && self.counter.quiet();
-        if !quiet || !self.leaving() {
+        // What the counter has not answered by the end was written, and lapses with its name.
+        let counted = self.counter.quiet() || self.reactor.last_answers();
+        let quiet = self.clients.len() == 0 && self.calls.len() == 0 && counted;
+        if !quiet || !self.reactor.closing() {
             return false;
         }
         // Who has connected since the last look is still answered.
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -15,8 +15,10 @@
 //! list a! b- c d@9                discovery tells: a drains, b is gone, c is there, d started anew at 9 ms of Unix time
 //! ask c1 r1 read capped 9000 [N]  client c1 sends API call r1: route, plan, milliseconds to wait, size of a body
 //! raw c1 *1\r\n$4\r\nPING\r\n       client c1 sends these bytes
+//! much c1 200                     client c1 sends 200 KiB of no command
 //! connect c1                      client c1 connects, as any other step with its name has it do
-//! hear c1 -BUSY*                  what c1 gets next: a line, '$' and a value, 'end'; '*' stands for any rest
+//! hear c1 -BUSY*                  what c1 gets next: a line, '$' and a value, 'end', 'reset'; '*' stands for any rest
+//! whole c1                        the connection of c1 was not reset
 //! gets a r1                       r1 comes to the app server a ('*': to any)
 //! none                            no command has come to an app server
 //! says r1 $value [cost=2]         the app server answers r1 with a value ('$x*9': repeated), or a line; 'break'
@@ -49,7 +51,7 @@
 
 use socket2::{Domain, Socket, Type};
 use std::collections::{BTreeMap, VecDeque};
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -109,10 +111,20 @@
     std::iter::from_fn(more).take(8).collect()
 }
 
-/// Reads a line without its end; none where the other side has ended.
+/// Reads a line without its end; none where the other side has ended or the connection was reset.
 fn line(from: &mut impl BufRead) -> Option<String> {
+    Some(line_or_end(from)).filter(|line| !["end", "reset"].contains(&line.as_str()))
+}
+
+/// Reads a line without its end; 'end' where the other side has ended, 'reset' where it has cut the connection.
+fn line_or_end(from: &mut impl BufRead) -> String {
     let mut line = String::new();
-    (from.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_string())
+    match from.read_line(&mut line) {
+        Ok(0) => "end".to_string(),
+        Ok(_) => line.trim_end().to_string(),
+        Err(error) if error.kind() == ErrorKind::ConnectionReset => "reset".to_string(),
+        Err(error) => panic!("{error}"),
+    }
 }
 
 /// Reads a bulk string whose head was read.
@@ -504,15 +516,23 @@
                 let command = format!("*{}\r\n{}", parts.len(), parts.concat());
                 self.client(client).get_mut().write_all(command.as_bytes()).expect("the node reads");
             }
+            ["whole", client] => {
+                let error = self.client(client).get_ref().take_error().expect("its state");
+                assert!(error.is_none(), "{error:?}");
+            }
             ["connect", client] => drop(self.client(client)),
             ["raw", client, ..] => {
                 let bytes = unescaped(step);
                 self.client(client).get_mut().write_all(bytes.as_bytes()).expect("the node reads");
             }
+            ["much", client, kib] => {
+                let bytes = vec![b'x'; kib.parse::<usize>().unwrap() << 10];
+                self.client(client).get_mut().write_all(&bytes).expect("the node reads");
+            }
             ["hear", client, ..] => {
                 let wanted = step.splitn(3, ' ').nth(2).unwrap();
                 let input = self.client(client);
-                let head = line(input).unwrap_or("end".to_string());
+                let head = line_or_end(input);
                 let got = bulk(input, &head).map_or(head, |value| format!("${value}"));
                 let alike = wanted.strip_suffix('*').map_or(got == wanted, |start| got.starts_with(start));
                 assert!(alike, "got: {}", &got[..got.len().min(60)]);
--- a/src/control.rs
+++ b/src/control.rs
@@ -658,8 +658,8 @@
         self.tries.insert(key, Box::new(over));
     }
 
-    /// A hard ceiling, kept by this gateway alone: its token bucket fills at the ceiling's rate, empty at a start
-    /// since an earlier life may have spent it; a send without the counter's word counts for all gateways.
+    /// A hard ceiling, kept by this gateway alone: its token bucket fills at the ceiling's rate, empty at a
+    /// start since an earlier life may have spent it; a send without the counter's word counts for all gateways.
     fn under_ceiling(&mut self, customer: &CustomerId, plan: &PlanName, units: f64, unsure: bool) -> bool {
         let (rate, depth) = (self.facts.plan(plan, "ceiling_rate"), self.facts.plan(plan, "ceiling_burst"));
         let (now, start) = (self.now, TokenBucket { left: 0.0, at: self.started });
@@ -754,7 +754,7 @@
         self.hold(call, Box::new(held));
     }
 
-    /// The API call is over: a try that is out is given up. Where none has come to a server, what it paid goes back.
+    /// The API call is over: a try that is out is given up. Where none has come to a server, its units go back.
     fn finish(&mut self, call: &CallId) -> Option<Call> {
         let asked = self.calls.remove(call)?;
         match asked.out {
