An idle connection rests 20 ms before its next try, and is not used when its server may end it

Where the connection time-out is longer than the idle time, none was ever used again; the margin is now a quarter of the idle time at most.

--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -58,6 +58,18 @@
     out: BTreeMap<(CallId, TryNumber), usize>,
 }
 
+/// A second answer to a try may come some milliseconds behind the first: only a connection that has been idle for so
+/// long is used again. Harm: a busy gateway opens a connection more.
+const SETTLES: Duration = Duration::from_millis(20);
+
+/// For how long an idle connection is used, if for a limited time: less than the server lets it stand by the time that
+/// one takes to come up, a quarter at most, since the server's end and a command may cross.
+fn stands(reactor: &Reactor) -> Option<Duration> {
+    let idle = reactor.facts.span("limits.idle_close");
+    let ahead = reactor.facts.span("limits.connect_timeout").min(idle / 4);
+    (!idle.is_zero()).then(|| idle - ahead)
+}
+
 fn ended(reactor: &mut Reactor, call: CallId, number: TryNumber, outcome: Outcome, sent: Duration) {
     let latency = reactor.now.saturating_sub(sent);
     let end = Ended { outcome, latency, closed: false, settled: None, load: BTreeMap::new() };
@@ -180,13 +192,18 @@
         upstream.job = Some(Job { call, number, sent, until, whole_by, due, begun, whole, part });
     }
 
-    /// The connection to a server that was idle for the shortest time. One on which anything has come since its
-    /// last answer, or that has ended, is no longer of use: what came would serve the next try.
+    /// The connection to a server that was idle for the shortest time, but for `SETTLES` at least, and not for as long
+    /// as the server may let it stand. One on which anything has come since its last answer, or that has ended, is no
+    /// longer of use: what came would serve the next try.
     fn idle(&mut self, reactor: &mut Reactor, server: &ServerId) -> Option<usize> {
+        let stands = stands(reactor);
         loop {
-            let key = self.known.get_mut(server)?.idle.pop()?;
-            let stream = &mut self.connections[key].stream;
-            if stream.read(reactor, resp::WHOLE) && stream.input.is_empty() {
+            let idle = &mut self.known.get_mut(server)?.idle;
+            let settled = |key: &usize| self.connections[*key].used + SETTLES <= reactor.now;
+            let key = idle.remove(idle.iter().rposition(settled)?);
+            let upstream = &mut self.connections[key];
+            let fresh = stands.is_none_or(|stands| reactor.now < upstream.used + stands);
+            if fresh && upstream.stream.read(reactor, resp::WHOLE) && upstream.stream.input.is_empty() {
                 return Some(key);
             }
             self.close(reactor, key);
@@ -399,14 +416,10 @@
         }
     }
 
-    /// Closes what has been idle for long, sooner by the time to connect than the app server would.
+    /// Closes what has been idle for long, before the app server would.
     pub fn sweep(&mut self, reactor: &mut Reactor) {
-        let (idle, connect) =
-            (reactor.facts.span("limits.idle_close"), reactor.facts.span("limits.connect_timeout"));
-        if idle.is_zero() {
-            return;
-        }
-        let old = |key: &&usize| self.connections[**key].used + idle.saturating_sub(connect) <= reactor.now;
+        let Some(stands) = stands(reactor) else { return };
+        let old = |key: &&usize| self.connections[**key].used + stands <= reactor.now;
         let all = self.known.values();
         let over: Vec<usize> = all.flat_map(|known| known.idle.iter().take_while(old).copied()).collect();
         for key in over {
