What cold servers are sent is shared out over the gateways, in permits that sum to the budget

Cause. has_room gave each gateway a budget of its own measure and at least one try in the rule's window, however many gateways there are: thirty gateways might send thirty to a server that bears seven (limuru-campus: twice 0.18 of 20 a second), and only the last 64 sends were kept, so a larger budget never bound.

Change. fleet/src/ramp.rs: a gateway's share is budget times 0.4 over the gateways that use the server, paid in permits; fractions are carried over, gateways begin at evenly spread parts, a permit lapses after a window, and a send begins half a window late at most (whole_by), so permits of two windows and a half are the whole budget at the most. A server outside a gateway's part gets nothing from it while cold. What a server bears is what warm ones were seen to do, and one API call after another of the usual length at the least.

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -3,5 +3,6 @@
 //! in seconds, rates are a second, unless a type says otherwise.
 
 pub mod backoff;
+pub mod ramp;
 pub mod recall;
 pub mod subset;
--- a/src/control.rs
+++ b/src/control.rs
@@ -10,7 +10,7 @@
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
-use wellcrank_fleet::subset;
+use wellcrank_fleet::{ramp::*, subset};
 
 const PERIOD: Duration = ms(3000); // hold lifetime: the period of a holds' name
 const RENEW_AHEAD: Duration = ms(100); // so long before the period's edge the holds are renewed
@@ -35,7 +35,7 @@
 const ROOM: f64 = 16.0; // tries open at a server to start with, over all gateways
 const QUICK: f64 = 0.25; // share of the latency target within which an answer is quick
 const ROUND: f64 = 5.0; // so many answers are a round, in a smaller room all of it
-const COLD_SHARE: f64 = 0.4; // part of a cold server's budget that is used
+const COLD_SHARE: f64 = 0.4; // of a cold server's budget: permits of two windows may arrive half a window late
 const TRY_SHARE: f64 = 0.2; // further tries paid by an API call taken
 
 pub struct Control {
@@ -128,7 +128,11 @@
             let server = match known {
                 _ if listed.phase == Phase::Gone => continue,
                 Some(known) if known.listed.started == listed.started => Server { listed, ..known },
-                known => Server::fresh(listed, known.map_or(0, |known| known.open)),
+                known => {
+                    let salt = subset::place(&id.0) ^ listed.started.map_or(0, |at| at.as_millis() as u64);
+                    let ramp = Ramp::new(self.facts.number("index") as u32, salt, self.now);
+                    Server::fresh(listed, known.map_or(0, |known| known.open), ramp)
+                }
             };
             self.servers.insert(id, server);
         }
@@ -540,17 +544,25 @@
         (from + (1.0 - from) * self.now.saturating_sub(start).as_secs_f64() / span).min(1.0)
     }
 
-    /// Room for one more: the gateway's own limit, and for a cold server its part of the rule's budget.
+    /// This gateway's share of what a cold server may be sent by all. A warm one bears what warm ones were seen
+    /// to do, and one API call after another of the usual length at the least. Harm: before it has seen any,
+    /// a gateway sends cold servers next to nothing.
+    fn share(&self, server: &Server) -> Share {
+        let users = self.gateways() * self.own.len() as f64 / self.ids.len().max(1) as f64;
+        let usual = self.usual.values().sum::<f64>() / self.usual.len() as f64;
+        let seen = self.fleet.done.0 / self.fleet.warm.max(1.0) * users;
+        let bears = seen.max(1.0 / if usual > 0.0 { usual } else { 1.0 });
+        let budget = bears * self.warmth(server) * self.facts.number("rules.fall_multiple");
+        Share::of(budget * COLD_SHARE, users, self.facts.span("rules.overload_for"))
+    }
+
+    /// Room for one more: the gateway's own limit, and for a cold server its share of the rule's budget.
     fn has_room(&self, server: &Server) -> bool {
         let warmth = self.warmth(server);
-        let spent = || {
-            let over = self.facts.span("rules.overload_for");
-            let usual = self.fleet.done.0 / self.fleet.warm.max(1.0) * over.as_secs_f64();
-            let budget = usual * warmth * self.facts.number("rules.fall_multiple") * COLD_SHARE;
-            server.sent.iter().filter(|at| **at + over > self.now).count() as f64 >= budget.max(1.0)
-        };
+        let ruled = warmth < 1.0 && self.facts.number("rules.fall_multiple") > 0.0;
         let fair = self.fleet.room / self.own.len().max(1) as f64;
-        (warmth >= 1.0 || !spent()) && f64::from(server.open) < (fair * warmth).max(1.0)
+        let permitted = !ruled || server.ramp.permits_one(self.now, self.share(server));
+        permitted && f64::from(server.open) < (fair * warmth).max(1.0)
     }
 
     /// In overload what is worth least for its work goes first, before it costs counter calls. Load is the
@@ -589,7 +601,9 @@
         found.dedup();
         if found.len() < 2 {
             found = self.own.iter().filter(fits).collect();
-            found = if found.is_empty() { self.ids.iter().filter(fits).collect() } else { found };
+            // Cold servers are shared out among those whose part they are.
+            let others = |id: &&ServerId| self.warmth(&self.servers[*id]) >= 1.0 && fits(id);
+            found = if found.is_empty() { self.ids.iter().filter(others).collect() } else { found };
             rng.shuffle(&mut found);
         }
         found.truncate(2);
@@ -631,13 +645,17 @@
             return self.answer(&call, 1.0);
         }
         let (now, at) = (self.now, drawn.expect("else barred"));
+        let share = self.share(&self.servers[&at]);
+        let cold = self.warmth(&self.servers[&at]) < 1.0;
+        // What is permitted now is not to arrive with later ones.
+        let soon = now + self.facts.span("rules.overload_for") / 2;
+        let whole_by = whole_by.min(if cold { soon } else { Duration::MAX });
         let server = self.servers.get_mut(&at).expect("chosen from the list");
         self.rng = rng;
         let sent = Sent { at: now, zone: server.listed.zone.clone(), cell: server.listed.cell };
         (server.open, self.fleet.open) = (server.open + 1, self.fleet.open + 1.0);
         self.fleet.sends += 1.0;
-        server.sent.push_back(now);
-        server.sent.drain(..server.sent.len().saturating_sub(64));
+        server.ramp.sent(now, share);
         let asked = self.calls.get_mut(&call).expect("looked up above");
         let (number, taken) = (TryNumber(asked.tries), asked.taken);
         (asked.tries, asked.out, asked.last) = (asked.tries + 1, Some(number), Some(at.clone()));
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,8 +3,9 @@
 
 use crate::control::Control;
 use crate::port::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
+use wellcrank_fleet::ramp::Ramp;
 
 pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -48,15 +49,15 @@
     pub pace: f64,
     pub distrust: f64,
     pub faded: Duration,
-    /// Recent sends, by which a cold server's budget is kept.
-    pub sent: VecDeque<Duration>,
+    /// By which this gateway's share of a cold server's budget is kept.
+    pub ramp: Ramp,
 }
 
 impl Server {
     /// As nothing is known of it yet.
-    pub fn fresh(listed: Listed, open: u32) -> Self {
+    pub fn fresh(listed: Listed, open: u32, ramp: Ramp) -> Self {
         let faded = Duration::ZERO;
-        Server { listed, open, pace: 1.0, distrust: 0.0, faded, sent: VecDeque::new() }
+        Server { listed, open, pace: 1.0, distrust: 0.0, faded, ramp }
     }
 
     /// Distrust as it has faded since it was last moved; `half` in seconds.
