Waits for discovery fit into the 6 s after which a change counts as told, for any settings

A watch was given up after half of the time within which the list is to be asked for, plus up to four connection time-outs: past 6 s where either is long. The first call of a process was such a watch, so silence on it went unseen for as long.

Checked and ruled out. Refusals while discovery is down last however often it is asked; ceasing to send on a list of over 6 s would stop all gateways for the outage, in which nothing counts as told, so it is not done. A version that goes back, SIGHUP with a call out: as before (anew, moved_on).

Change (fleet/src/recall.rs, spread.rs; edge/src/discovery.rs). Waits after a refusal stay within 4 s, first calls of gateways that know a list are spread over that by number, watches wait 3 s at most, connections 0.5 s, answers 0.5 s (a whole list 2 s). An agent of the gateway's own is first asked without waiting on each connection. Answers without a length are whole at a clean end only.

--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -137,6 +137,10 @@
     /// The version of the last list or change that this gateway has, also across connections: a call then asks
     /// for what changed since, which is small, in place of the whole list. None: the whole list is wanted.
     rev: Option<u64>,
+    /// This gateway's number.
+    index: u32,
+    /// Nothing has come on this connection yet that answers a call: where that is free, the first one does not wait.
+    fresh: bool,
     /// When a new connection is due, where there is none.
     next: Duration,
     asking: bool,
@@ -166,6 +170,8 @@
             key: 0,
             wanted: false,
             rev,
+            index: facts.number("index") as u32,
+            fresh: true,
             next: Duration::ZERO,
             asking: false,
             asked: reactor.now,
@@ -181,16 +187,24 @@
             (self.at, self.host, self.rev) = (at, at.to_string(), None);
             self.recall.answered();
             self.drop_connection(reactor);
-            if self.wanted {
-                self.connect(reactor);
-            }
+            // All gateways are told at one moment, and what is there counts as told some seconds later.
+            self.begin(reactor, self.recall.first(self.index) / 2);
         }
     }
 
     /// Begins or ends following the list.
     pub fn follow(&mut self, reactor: &mut Reactor, on: bool) {
         self.wanted = on;
-        if on && self.stream.is_none() {
+        if self.stream.is_none() {
+            let known = self.rev.is_some();
+            self.begin(reactor, if known { self.recall.first(self.index) } else { Duration::ZERO });
+        }
+    }
+
+    /// The first call, at once or after a while.
+    fn begin(&mut self, reactor: &mut Reactor, after: Duration) {
+        self.next = reactor.now + after;
+        if self.wanted && after.is_zero() {
             self.connect(reactor);
         }
     }
@@ -204,7 +218,7 @@
     fn connect(&mut self, reactor: &mut Reactor) {
         self.drop_connection(reactor);
         self.key += 1;
-        self.asked = reactor.now;
+        (self.asked, self.fresh) = (reactor.now, true);
         self.stream = BufferedStream::connect(reactor, self.at, Side::Discovery, self.key).ok();
         if self.stream.is_none() {
             return self.failed(reactor, Failure::Unheard, "no connection");
@@ -243,8 +257,8 @@
     }
 
     fn ask(&mut self, reactor: &mut Reactor) {
+        let wait = self.wait();
         let Some(stream) = &mut self.stream else { return };
-        let wait = self.recall.watch();
         let query = match self.rev {
             Some(rev) => format!("?after={rev}&wait_ms={}", wait.as_millis()),
             None => String::new(),
@@ -255,12 +269,21 @@
         (self.asking, self.asked) = (true, reactor.now);
     }
 
+    /// How long the next call may wait for news, or the one that is out.
+    fn wait(&self) -> Duration {
+        if self.fresh && self.recall.asks_at_once() {
+            Duration::ZERO
+        } else {
+            self.recall.watch()
+        }
+    }
+
     /// Until when the call that is out may go unanswered, with the wait that it asks for.
     fn patience(&self) -> Duration {
         let up = self.stream.as_ref().is_some_and(|stream| stream.up);
         let wait = match self.rev {
             _ if !up => self.recall.coming_up(),
-            Some(_) => self.recall.watch() + self.recall.answer_time(false),
+            Some(_) => self.wait() + self.recall.answer_time(false),
             None => self.recall.answer_time(true),
         };
         self.asked + wait
@@ -275,10 +298,12 @@
         let stream = self.stream.as_mut()?;
         let most = reactor.budget.bytes.max(LIST);
         let open = stream.read(reactor, most);
-        let read = match answer(&stream.input, most) {
+        let ended = !open && !stream.broken;
+        let read = match answer(&stream.input, ended, most) {
             Ok(None) if stream.input.len() >= most => Err(TOO_LONG.to_string()),
             read => read,
         };
+        let mut soon = false;
         let news = match read {
             Ok(Some((news, took))) => {
                 stream.take(reactor, took);
@@ -295,6 +320,8 @@
                         "after rev" => self.rev, "rev" => news.rev);
                 }
                 self.rev = Some(news.rev).filter(|_| !back);
+                let first = std::mem::take(&mut self.fresh);
+                soon = first || !news.is_empty() || back;
                 (self.asking, self.heard) = (false, reactor.now);
                 self.recall.answered();
                 Some(news)
@@ -313,9 +340,9 @@
             } else {
                 self.drop_connection(reactor);
             }
-        } else if let Some(news) = news.as_ref().filter(|_| self.wanted) {
+        } else if news.is_some() && self.wanted {
             // Nothing new and too soon: it does not wait, and is asked at the next tick instead of all the time.
-            if !news.is_empty() || self.rev.is_none() || reactor.now >= self.asked + self.recall.watch() / 2 {
+            if soon || reactor.now >= self.asked + self.recall.watch() / 2 {
                 self.ask(reactor);
             }
         }
@@ -356,8 +383,8 @@
 const TOO_LONG: &str = "longer than the memory allows";
 
 /// Takes a whole HTTP answer off the front, past 1xx ones: its list, and the bytes that it took. An answer of more
-/// than `most` bytes is wrong.
-fn answer(bytes: &[u8], most: usize) -> Result<Option<(ListUpdate, usize)>, String> {
+/// than `most` bytes is wrong. One that tells no length is whole when the other side has put an end to it, and only then.
+fn answer(bytes: &[u8], ended: bool, most: usize) -> Result<Option<(ListUpdate, usize)>, String> {
     let mut headers = [httparse::EMPTY_HEADER; 32];
     let mut head = httparse::Response::new(&mut headers);
     let start = match head.parse(bytes).map_err(|error| error.to_string())? {
@@ -365,7 +392,7 @@
         httparse::Status::Partial => return Ok(None),
     };
     if head.code.is_some_and(|code| (100..200).contains(&code)) {
-        return Ok(answer(&bytes[start..], most)?.map(|(news, took)| (news, start + took)));
+        return Ok(answer(&bytes[start..], ended, most)?.map(|(news, took)| (news, start + took)));
     }
     let header = |name: &str| {
         let found = head.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
@@ -387,7 +414,8 @@
                 None => return Ok(None),
             }
         }
-        None => return Err("no length".into()),
+        None if ended => (Cow::Borrowed(&bytes[start..]), bytes.len()),
+        None => return Ok(None),
     };
     serde_json::from_slice(&body).map(|news| Some((news, end))).map_err(|error| error.to_string())
 }
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -18,6 +18,8 @@
     pub up: bool,
     /// Nothing more is to be read until the poll says so.
     pub drained: bool,
+    /// It was reset, or failed otherwise: no end that the other side has put.
+    pub broken: bool,
     /// What has come and was not taken yet.
     pub input: Vec<u8>,
     output: Vec<u8>,
@@ -56,7 +58,17 @@
         // Without it small answers would wait for the other side's acknowledgement.
         let _ = socket.set_nodelay(true);
         let (input, output, done) = (Vec::new(), Vec::new(), 0);
-        Ok(BufferedStream { socket, token, up, drained: false, input, output, done, marked: false })
+        Ok(BufferedStream {
+            socket,
+            token,
+            up,
+            drained: false,
+            broken: false,
+            input,
+            output,
+            done,
+            marked: false,
+        })
     }
 
     /// Has `write` add to the output; it goes out at the end of the turn. Says how many bytes it added.
@@ -124,7 +136,10 @@
                     self.drained = true;
                     return true;
                 }
-                Err(_) => return false,
+                Err(_) => {
+                    self.broken = true;
+                    return false;
+                }
             }
         }
         true
--- a/fleet/src/backoff.rs
+++ b/fleet/src/backoff.rs
@@ -19,11 +19,11 @@
 
 impl Backoff {
     /// For a service that a whole fleet of `gateways` calls alike, with `base` as the least first span and `longest`
-    /// as the most: where calls that are turned away cost the service too, a fleet that comes again faster than it
+    /// as the most at any time: where calls that are turned away cost the service too, a fleet that comes again faster than it
     /// serves keeps it full for good, and only a first span that grows with the fleet lets it empty.
     pub fn shared(base: Duration, gateways: f64, longest: Duration) -> Backoff {
-        let first = base.mul_f64((gateways / GATEWAYS_A_BASE).clamp(1.0, 1e6));
-        Backoff { first: first.min(longest / 4).max(base.min(longest)), most: longest }
+        let first = base.min(longest).mul_f64((gateways / GATEWAYS_A_BASE).clamp(1.0, 1e6));
+        Backoff { first: first.min(longest), most: longest }
     }
 
     /// The span in which the next call falls after `failures` in a row (none: no wait).
--- a/fleet/src/ramp.rs
+++ b/fleet/src/ramp.rs
@@ -6,6 +6,7 @@
 //! begin at parts of a send that are spread evenly over them, else three hundred would hold their first permit at one
 //! moment; and a permit lapses, else all that lay unused could be spent at one moment too.
 
+use crate::spread;
 use std::time::Duration;
 
 /// What one gateway may send to one cold server.
@@ -35,10 +36,8 @@
     /// At `now`, for the gateway of that number (from 0). `salt` tells servers apart: a gateway that is early at one is
     /// late at another.
     pub fn new(gateway: u32, salt: u64, now: Duration) -> Ramp {
-        // Steps of the golden ratio fall evenly over a whole, for any number of gateways.
-        const GOLDEN: f64 = 0.618_033_988_749_894_9;
         let salt = (salt >> 11) as f64 / (1u64 << 53) as f64;
-        Ramp { credit: (f64::from(gateway) * GOLDEN + salt).fract(), at: now }
+        Ramp { credit: (spread::place(gateway) + salt).fract(), at: now }
     }
 
     /// Permits that may be used now, and the part of the next.
--- a/fleet/src/recall.rs
+++ b/fleet/src/recall.rs
@@ -6,6 +6,7 @@
 //! crowded, and asking again soon keeps it so.
 
 use crate::backoff::Backoff;
+use crate::spread;
 use std::time::Duration;
 
 /// How a call failed.
@@ -17,8 +18,13 @@
     Refused,
 }
 
-/// How late the answer to a watch may be after its wait, in connection time-outs; a whole list may take four times that.
-const LATEST: u32 = 4;
+/// After a call that failed, was refused or given up, a change counts as told so long after the service had it and could
+/// be reached. Whatever the settings say, what a call may take, what it waits before the next and the next one's answer
+/// fit into it.
+pub const TOLD: Duration = Duration::from_secs(6);
+
+/// The least that anything is waited for.
+const LEAST: Duration = Duration::from_millis(100);
 
 /// What the waits follow from.
 #[derive(Clone, Copy, Debug)]
@@ -66,29 +72,55 @@
         (self.unheard, self.refused) = (0, 0);
     }
 
-    /// How long a watch may wait for news: half the time within which the list is to be asked for.
+    /// How long a watch may wait for news: half the time within which the list is to be asked for, and half of that
+    /// after which what a watch misses that fell silent at once counts as told.
     pub fn watch(&self) -> Duration {
-        self.terms.within / 2
+        let half = Some(self.terms.within / 2).filter(|half| *half >= LEAST);
+        half.unwrap_or(TOLD / 2).min(TOLD / 2)
     }
 
     /// The least time between the beginnings of two calls: a quarter of the grace, so that the return of the service,
     /// one such time, a connection and the answer all fit in it.
     pub fn pace(&self) -> Duration {
-        (self.terms.grace / 4).min(self.terms.connect).max(Duration::from_millis(10))
+        (self.terms.grace / 4).min(self.terms.connect).clamp(Duration::from_millis(10), TOLD / 48)
     }
 
     /// How long a connection may take to come up: what asks for it may be lost while the service is away, and the
     /// system asks again only after a second. No longer than half of the grace, unless that is less than a connection
     /// may need.
     pub fn coming_up(&self) -> Duration {
-        self.terms.connect.min((self.terms.grace / 2).max(self.terms.connect / 2))
+        let fits = (self.terms.grace / 2).max(self.terms.connect / 2);
+        self.terms.connect.min(fits).clamp(LEAST, TOLD / 12)
     }
 
     /// How long an answer may take beyond the wait that was asked for: twice as long after each failure, since the
-    /// service may be slow, but within the time after which what a watch misses counts as told.
+    /// service may be slow, up to four times as long (a whole list: sixteen times). A crowded service that gateways
+    /// share is left the time that it takes to turn a call away: one given up before that has cost it as much.
     pub fn answer_time(&self, whole: bool) -> Duration {
-        let longest = if whole { LATEST * 4 } else { LATEST };
-        self.terms.connect * (1u32 << self.failures().min(8)).min(longest)
+        let (longest, most) = if whole { (16, TOLD / 3) } else { (4, TOLD / 12) };
+        let slow = self.terms.connect.min(TOLD) * (1u32 << self.failures().min(8)).min(longest);
+        let least = if whole && self.terms.sharing.is_some() { most } else { LEAST };
+        slow.clamp(least, most)
+    }
+
+    /// Whether a new connection's first call should ask for an answer at once, and only the next one wait: an agent of
+    /// the gateway's own answers at no cost, and of a watch on it that is silent from the start nothing is known for as
+    /// long as it waits. A shared service is spared the call.
+    pub fn asks_at_once(&self) -> bool {
+        self.terms.sharing.is_none()
+    }
+
+    /// How long a gateway that knows a list waits before its first call, by its number: where hundreds start together
+    /// and call a service that they share at one moment, most are turned away, and keep it crowded.
+    pub fn first(&self, gateway: u32) -> Duration {
+        let span = self.terms.sharing.map_or(Duration::ZERO, |gateways| self.backoff(gateways).first);
+        span.mul_f64(spread::place(gateway))
+    }
+
+    /// After a refusal: the wait for the next call, and the time in which a crowded service answers or turns away, a
+    /// third of it, fit into the time after which what it has counts as told.
+    fn backoff(&self, gateways: f64) -> Backoff {
+        Backoff::shared(self.terms.connect.max(LEAST), gateways, TOLD * 2 / 3)
     }
 
     /// A call that began `ago` failed; says how long to wait before the next, for a draw in [0, 1).
@@ -96,11 +128,7 @@
         match (how, self.terms.sharing) {
             (Failure::Refused, Some(gateways)) => {
                 self.refused = self.refused.saturating_add(1);
-                let base = self.terms.connect.max(Duration::from_millis(10));
-                // Twice the time within which the list is to be asked for: half of what the rules allow a service that
-                // turns calls away.
-                let longest = (self.terms.within * 2).max(base * 16);
-                Backoff::shared(base, gateways, longest).wait(self.refused, draw)
+                self.backoff(gateways).wait(self.refused, draw)
             }
             (Failure::Refused, None) => {
                 self.refused = self.refused.saturating_add(1);
