Figures that are missing, nothing, tiny or huge no longer bring the module down

A route without a latency target had no time at all and was refused always. A cold server under a rule with no window got sends that must have gone out before they were decided.

Spans from settings lie between nothing and thirty years (port::seconds), windows between 0.1 s and 1e6 s, advice is reckoned for 99 calls ahead at most, a target that is not stated is none, and a rule on cold servers without multiple or window is none.

Tests. 1,500 days of 250 events in any order hold: one answer in time, nothing sent after it, one try out, repeats only where and while they are remembered, 'harmless to come again' only where it is, no send to a server that drains.

--- a/src/control.rs
+++ b/src/control.rs
@@ -23,6 +23,8 @@
 const PROMPT: f64 = 0.7; // an answer within this share of the counter's time limit is prompt
 const ERRORS: u32 = 3; // so many in a row, each after a slowing, are an outage
 const SPARE: f64 = 0.7; // with this share of the calls in hand, what can be done without is done
+const SHORTEST: f64 = 0.1; // a window, in seconds, whatever the settings say
+const LONGEST: f64 = 1e6;
 const AHEAD: f64 = 0.5; // of a window: a block's recent demand while calls are scarce
 const ADVICE: Duration = ms(5000); // per call ahead
 const LONGEST_ADVICE: Duration = ms(30_000);
@@ -110,7 +112,7 @@
     /// A plan's rate and burst, and the length of its windows in seconds.
     fn terms(&self, plan: &PlanName) -> (f64, f64, f64) {
         let (rate, burst) = (self.facts.plan(plan, "rate"), self.facts.plan(plan, "burst"));
-        (rate, burst, if rate > 0.0 { burst / rate } else { 1.0 })
+        (rate, burst, if rate > 0.0 { (burst / rate).clamp(SHORTEST, LONGEST) } else { 1.0 })
     }
 
     pub fn tell_time(&mut self, now: Duration) {
@@ -544,25 +546,25 @@
         (from + (1.0 - from) * self.now.saturating_sub(start).as_secs_f64() / span).min(1.0)
     }
 
-    /// This gateway's share of what a cold server may be sent by all. A warm one bears what warm ones were seen
-    /// to do, and one API call after another of the usual length at the least. Harm: before it has seen any,
-    /// a gateway sends cold servers next to nothing.
-    fn share(&self, server: &Server) -> Share {
+    /// This gateway's share of what a cold server may be sent by all; none for a warm one, or without such a
+    /// rule. A warm one bears what warm ones were seen to do, and one API call after another of the usual
+    /// length at the least. Harm: before it has seen any, a gateway sends cold servers next to nothing.
+    fn share(&self, server: &Server) -> Option<Share> {
+        let (warmth, over) = (self.warmth(server), self.facts.span("rules.overload_for"));
+        let multiple = self.facts.number("rules.fall_multiple");
         let users = self.gateways() * self.own.len() as f64 / self.ids.len().max(1) as f64;
         let usual = self.usual.values().sum::<f64>() / self.usual.len() as f64;
         let seen = self.fleet.done.0 / self.fleet.warm.max(1.0) * users;
         let bears = seen.max(1.0 / if usual > 0.0 { usual } else { 1.0 });
-        let budget = bears * self.warmth(server) * self.facts.number("rules.fall_multiple");
-        Share::of(budget * COLD_SHARE, users, self.facts.span("rules.overload_for"))
+        let share = || Share::of(bears * warmth * multiple * COLD_SHARE, users, over);
+        (warmth < 1.0 && multiple > 0.0 && !over.is_zero()).then(share)
     }
 
     /// Room for one more: the gateway's own limit, and for a cold server its share of the rule's budget.
     fn has_room(&self, server: &Server) -> bool {
-        let warmth = self.warmth(server);
-        let ruled = warmth < 1.0 && self.facts.number("rules.fall_multiple") > 0.0;
-        let fair = self.fleet.room / self.own.len().max(1) as f64;
-        let permitted = !ruled || server.ramp.permits_one(self.now, self.share(server));
-        permitted && f64::from(server.open) < (fair * warmth).max(1.0)
+        let fair = self.fleet.room / self.own.len().max(1) as f64 * self.warmth(server);
+        let permitted = self.share(server).is_none_or(|share| server.ramp.permits_one(self.now, share));
+        permitted && f64::from(server.open) < fair.max(1.0)
     }
 
     /// In overload what is worth least for its work goes first, before it costs counter calls. Load is the
@@ -622,7 +624,7 @@
         let (route, units) = (asked.arrival.route.clone(), asked.arrival.units);
         let left = self.patience(asked);
         let (repeat, group) = (self.facts.said(&route, "repeat"), self.facts.said(&route, "group"));
-        let memory = Duration::from_secs_f64(self.facts.route(&route, "memory_span"));
+        let memory = self.facts.route_span(&route, "memory_span");
         // A repeat has to reach a server that knows the first by its token while that is remembered.
         let (whole_by, first) = match (&asked.ran, repeat) {
             (None, _) | (_, "idempotent") => (Duration::MAX, None),
@@ -646,16 +648,15 @@
         }
         let (now, at) = (self.now, drawn.expect("else barred"));
         let share = self.share(&self.servers[&at]);
-        let cold = self.warmth(&self.servers[&at]) < 1.0;
         // What is permitted now is not to arrive with later ones.
-        let soon = now + self.facts.span("rules.overload_for") / 2;
-        let whole_by = whole_by.min(if cold { soon } else { Duration::MAX });
+        let soon = share.map_or(Duration::MAX, |share| now + share.lapse / 2);
+        let whole_by = whole_by.min(soon);
         let server = self.servers.get_mut(&at).expect("chosen from the list");
         self.rng = rng;
         let sent = Sent { at: now, zone: server.listed.zone.clone(), cell: server.listed.cell };
         (server.open, self.fleet.open) = (server.open + 1, self.fleet.open + 1.0);
         self.fleet.sends += 1.0;
-        server.ramp.sent(now, share);
+        share.into_iter().for_each(|share| server.ramp.sent(now, share));
         let asked = self.calls.get_mut(&call).expect("looked up above");
         let (number, taken) = (TryNumber(asked.tries), asked.taken);
         (asked.tries, asked.out, asked.last) = (asked.tries + 1, Some(number), Some(at.clone()));
@@ -688,8 +689,9 @@
 
     /// How long an answer is still worth something.
     fn patience(&self, asked: &Call) -> Duration {
-        let target = Duration::from_secs_f64(self.facts.route(&asked.arrival.route, "latency_target"));
-        let late = self.facts.route(&asked.arrival.route, "late_worth") > 0.0;
+        let target = self.facts.route_span(&asked.arrival.route, "latency_target");
+        // A target that is not stated is none.
+        let late = self.facts.route(&asked.arrival.route, "late_worth") > 0.0 || target.is_zero();
         let until = asked.arrival.until.min(if late { Duration::MAX } else { asked.born + target });
         until.saturating_sub(self.now)
     }
@@ -800,7 +802,7 @@
             _ => asked.out.is_none() && asked.ran.is_none(),
         };
         match harmless {
-            true => self.port.rate_limit(call, ADVICE.mul_f64(ahead.max(1.0)).min(LONGEST_ADVICE)),
+            true => self.port.rate_limit(call, ADVICE.mul_f64(ahead.clamp(1.0, 99.0)).min(LONGEST_ADVICE)),
             false => self.port.error(call),
         }
     }
--- a/src/port.rs
+++ b/src/port.rs
@@ -57,6 +57,10 @@
         number(self.of("routes", &route.0, what))
     }
 
+    pub fn route_span(&self, route: &RouteName, what: &str) -> Duration {
+        seconds(self.route(route, what))
+    }
+
     pub fn said(&self, route: &RouteName, what: &str) -> &str {
         text(self.of("routes", &route.0, what))
     }
@@ -80,7 +84,7 @@
     }
 
     pub fn span(&self, name: &str) -> Duration {
-        Duration::from_secs_f64(self.number(name).max(0.0))
+        seconds(self.number(name))
     }
 
     pub fn text(&self, name: &str) -> &str {
@@ -92,6 +96,12 @@
     }
 }
 
+/// A span of so many seconds. What is below nothing or no number is nothing, and a span ends within thirty years, so that
+/// sums of them stay sound whatever was stated.
+pub fn seconds(number: f64) -> Duration {
+    Duration::from_secs_f64(number.clamp(0.0, 1e9).max(0.0))
+}
+
 fn number(fact: Option<&Fact>) -> f64 {
     match fact {
         Some(Fact::Number(number)) => *number,
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,358 @@
+//! Plays random days under settings that miss figures or have absurd ones, and holds the module to what must be true
+//! under any: it does not fall over, each API call gets one final answer in time and nothing is sent for it afterwards,
+//! never two tries are out, and what may have run is repeated or refused only as its route permits.
+
+use nanorand::{Rng, WyRand};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use wellcrank::control::Control;
+use wellcrank::port::*;
+
+#[derive(Clone)]
+struct Open {
+    route: RouteName,
+    until: Duration,
+    out: Option<TryNumber>,
+    tries: u32,
+    /// When and in which cell the first try that may have run was sent; the one that is out may as well.
+    ran: Option<(Duration, u64)>,
+    sent: (Duration, u64),
+}
+
+#[derive(Default)]
+struct Seen {
+    now: Duration,
+    facts: Facts,
+    wakes: Vec<(Duration, u64)>,
+    counts: Vec<CounterName>,
+    open: BTreeMap<CallId, Open>,
+    /// Tries whose end is to be told, and whether their API call is over.
+    out: Vec<(CallId, TryNumber)>,
+    servers: BTreeMap<ServerId, (bool, u64)>,
+}
+
+#[derive(Clone, Default)]
+struct Referee(Rc<RefCell<Seen>>);
+
+impl Seen {
+    fn effect(&self, open: &Open) -> String {
+        self.facts.said(&open.route, "repeat").to_string()
+    }
+
+    /// The final answer.
+    fn answered(&mut self, call: &CallId, harmless: bool) {
+        let open = self.open.remove(call).expect("one answer, to an open API call");
+        assert!(self.now <= open.until, "answered in time");
+        let may_have_run = open.ran.is_some() || open.out.is_some();
+        let all = self.facts.said(&open.route, "group") == "all";
+        let permitted = match self.effect(&open).as_str() {
+            "idempotent" => true,
+            "tokened" => !may_have_run || all,
+            _ => !may_have_run,
+        };
+        assert!(permitted || !harmless, "told that it is harmless to come again");
+    }
+}
+
+impl Port for Referee {
+    fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration, whole_by: Duration) {
+        let seen = &mut *self.0.borrow_mut();
+        let now = seen.now;
+        let open = seen.open.get(call).expect("nothing is sent for an API call that is over").clone();
+        assert!(open.out.is_none(), "one try out at a time");
+        let (ready, cell) = *seen.servers.get(server).expect("a server of the list");
+        assert!(ready, "a server that drains gets nothing new");
+        assert!(now + timeout <= open.until && whole_by > now, "there is time left");
+        let memory = seen.facts.route(&open.route, "memory_span").clamp(0.0, 1e9);
+        if let Some((at, first)) = open.ran {
+            let lapses = at + Duration::from_secs_f64(memory);
+            match seen.effect(&open).as_str() {
+                "idempotent" => (),
+                "tokened" => {
+                    assert!(now < lapses && whole_by <= lapses, "a repeat that is remembered");
+                    let all = seen.facts.said(&open.route, "group") == "all";
+                    assert!(all || first == cell, "a repeat where it is remembered");
+                }
+                _ => panic!("what must not run twice is sent again"),
+            }
+        }
+        let open = seen.open.get_mut(call).expect("looked up above");
+        open.out = Some(TryNumber(open.tries));
+        (open.tries, open.sent) = (open.tries + 1, (now, cell));
+        seen.out.push((call.clone(), open.out.expect("just set")));
+    }
+    fn cancel(&mut self, _: &CallId, _: TryNumber) {
+        assert!(self.0.borrow().facts.flag("limits.cancelling"));
+    }
+    fn rate_limit(&mut self, call: &CallId, retry_after: Duration) {
+        assert!(retry_after <= Duration::from_secs(30));
+        self.0.borrow_mut().answered(call, true);
+    }
+    fn error(&mut self, call: &CallId) {
+        self.0.borrow_mut().answered(call, false);
+    }
+    fn count(&mut self, name: CounterName, add: f64, keep: Duration) {
+        assert!(add.is_finite() && add != 0.0 && keep > Duration::ZERO);
+        self.0.borrow_mut().counts.push(name);
+    }
+    fn wake(&mut self, token: WakeToken, at: Duration) {
+        self.0.borrow_mut().wakes.push((at, token.0));
+    }
+    fn subscribe(&mut self, _: bool) {}
+    fn probe(&mut self, _: &ServerId) {}
+    fn refetch(&mut self) {}
+    fn release(&mut self, _: &ServerId) {}
+    fn tell(&mut self, _: Option<u32>, _: &[u8]) {}
+    fn log(&mut self, _: &str) {}
+}
+
+const PLANS: [&str; 3] = ["basic", "once", "plans"];
+const ROUTES: [&str; 4] = ["read", "rate_ns", "routes", "cap"];
+
+/// A figure, or none at all: missing ones read as nothing.
+fn figure(rng: &mut WyRand, usual: f64) -> Option<f64> {
+    let odd = [0.0, 1e-12, 1e-3, 1e4, 1e18, 1e300, -1.0];
+    match rng.generate_range(0..10u32) {
+        0 => None,
+        1 | 2 => Some(odd[rng.generate_range(0..odd.len())]),
+        _ => Some(usual * (0.2 + 2.0 * rng.generate::<f64>())),
+    }
+}
+
+fn settings(rng: &mut WyRand) -> Facts {
+    let mut facts = Facts::default();
+    let mut put = |rng: &mut WyRand, name: String, usual: f64| {
+        if let Some(figure) = figure(rng, usual) {
+            facts.0.insert(name, Fact::Number(figure));
+        }
+    };
+    for (name, usual) in [
+        ("gateways", 3.0),
+        ("index", 1.0),
+        ("resolution", 0.004),
+        ("limits.max_attempts", 3.0),
+        ("limits.connect_timeout", 0.25),
+        ("limits.idle_close", 30.0),
+        ("counter.counter_timeout", 0.08),
+        ("counter.units_top", 4.0),
+        ("rules.cold_from", 0.2),
+        ("rules.cold", 10.0),
+        ("rules.fall_multiple", 3.0),
+        ("rules.overload_for", 1.0),
+        ("rules.stop_sending_within", 0.5),
+    ] {
+        put(rng, name.to_string(), usual);
+    }
+    for plan in PLANS {
+        for (name, usual) in [
+            ("rate", 4.0),
+            ("burst", 8.0),
+            ("cap", 3.0),
+            ("price", 1.0),
+            ("ceiling_rate", 9.0),
+            ("ceiling_burst", 9.0),
+        ] {
+            put(rng, format!("plans.{plan}.{name}"), usual);
+        }
+    }
+    for route in ROUTES {
+        for (name, usual) in [
+            ("latency_target", 0.5),
+            ("late_worth", 0.2),
+            ("billed_value", 2.0),
+            ("memory_span", 0.6),
+            ("client_timeout", 2.0),
+        ] {
+            put(rng, format!("routes.{route}.{name}"), usual);
+        }
+    }
+    for route in ROUTES {
+        let repeat = ["idempotent", "tokened", "non-idempotent", "other"][rng.generate_range(0..4usize)];
+        let group = ["all", "cell", "zone", ""][rng.generate_range(0..4usize)];
+        facts.0.insert(format!("routes.{route}.repeat"), Fact::Text(repeat.into()));
+        facts.0.insert(format!("routes.{route}.group"), Fact::Text(group.into()));
+    }
+    for flag in ["counter.present", "limits.cancelling"] {
+        facts.0.insert(flag.to_string(), Fact::Flag(rng.generate_range(0..4u32) > 0));
+    }
+    facts
+}
+
+struct Day {
+    seen: Referee,
+    control: Control,
+    rng: WyRand,
+    calls: u32,
+}
+
+impl Day {
+    fn new(seed: u64) -> Day {
+        let mut rng = WyRand::new_seed(seed);
+        let facts = settings(&mut rng);
+        let (seen, start) = (Referee::default(), Duration::from_secs(1_700_000_000));
+        (seen.0.borrow_mut().now, seen.0.borrow_mut().facts) = (start, facts.clone());
+        let control = Control::new(facts, seed, start, Box::new(seen.clone()));
+        Day { seen, control, rng, calls: 0 }
+    }
+
+    /// Moves the clock, waking the gateway on the way.
+    fn go_on(&mut self, by: Duration) {
+        let until = self.seen.0.borrow().now + by;
+        loop {
+            let next = {
+                let wakes = &mut self.seen.0.borrow_mut().wakes;
+                let due = wakes
+                    .iter()
+                    .enumerate()
+                    .filter(|(_, wake)| wake.0 <= until)
+                    .min_by_key(|(_, wake)| **wake);
+                due.map(|(place, _)| place).map(|place| wakes.swap_remove(place))
+            };
+            let Some((at, token)) = next else { break };
+            self.tell_time(at);
+            self.control.woken(WakeToken(token));
+        }
+        self.tell_time(until);
+    }
+
+    fn tell_time(&mut self, at: Duration) {
+        let now = self.seen.0.borrow().now.max(at);
+        self.seen.0.borrow_mut().now = now;
+        self.control.tell_time(now);
+    }
+
+    fn list(&mut self) {
+        let (whole, now) = (self.rng.generate_range(0..2u32) == 0, self.seen.0.borrow().now);
+        let mut lines = Vec::new();
+        for number in 0..self.rng.generate_range(1..6u32) {
+            let phase = [Phase::Ready, Phase::Ready, Phase::Ready, Phase::Draining, Phase::Gone]
+                [self.rng.generate_range(0..5usize)];
+            let started =
+                [None, Some(now), Some(now - Duration::from_secs(5)), Some(now + Duration::from_secs(9))];
+            // Zones are as cells here, so that a route's group is either.
+            let cell = self.rng.generate_range(0..3u64);
+            lines.push(Listed {
+                server: format!("s{number}").as_str().into(),
+                phase,
+                started: started[self.rng.generate_range(0..4usize)],
+                cell,
+                zone: cell.to_string(),
+                kind: String::new(),
+                weight: [0.0, 1.0, 1e300, -3.0][self.rng.generate_range(0..4usize)],
+            });
+        }
+        {
+            let servers = &mut self.seen.0.borrow_mut().servers;
+            if whole {
+                servers.clear();
+            }
+            for line in &lines {
+                servers.insert(line.server.clone(), (line.phase == Phase::Ready, line.cell));
+            }
+        }
+        self.control.listed(whole, lines);
+    }
+
+    fn call(&mut self) {
+        self.calls += 1;
+        let rng = &mut self.rng;
+        let call: CallId = self.calls.to_string().as_str().into();
+        let route: RouteName = ROUTES[rng.generate_range(0..4usize)].into();
+        let now = self.seen.0.borrow().now;
+        let until = now + Duration::from_millis([1, 50, 600, 3000][rng.generate_range(0..4usize)]);
+        let open = Open { route: route.clone(), until, out: None, tries: 0, ran: None, sent: (now, 0) };
+        self.seen.0.borrow_mut().open.insert(call.clone(), open);
+        let arrival = Arrival {
+            call,
+            customer: ["ann", "bob"][rng.generate_range(0..2usize)].into(),
+            plan: PLANS[rng.generate_range(0..3usize)].into(),
+            route,
+            units: [1e-3, 1.0, 3.0, 1e6][rng.generate_range(0..4usize)],
+            until,
+            first: rng.generate_range(0..3u32),
+            spread: rng.generate_range(1..300u32),
+        };
+        self.control.arrived(arrival);
+    }
+
+    fn counted(&mut self) {
+        let next = {
+            let counts = &mut self.seen.0.borrow_mut().counts;
+            (!counts.is_empty()).then(|| counts.remove(0))
+        };
+        let Some(name) = next else { return };
+        let total = [0.0, 1.0, 3.0, 5.0, -1e9, 1e18, 1e308, f64::MIN][self.rng.generate_range(0..8usize)];
+        let counted = match self.rng.generate_range(0..8u32) {
+            0 => Counted::Added,
+            1 => Counted::NotAdded,
+            2 => Counted::Unsure,
+            _ => Counted::Total(total),
+        };
+        self.control.counted(name, counted);
+    }
+
+    fn ended(&mut self) {
+        let place = self.rng.generate_range(0..self.seen.0.borrow().out.len().max(1));
+        if place >= self.seen.0.borrow().out.len() {
+            return;
+        }
+        let (call, number) = self.seen.0.borrow_mut().out.swap_remove(place);
+        use Outcome::*;
+        let all = [Proxied, ServerError, TurnedAway, TimedOut, NoConnection, Broken, Cancelled, NotSent];
+        let outcome = all[self.rng.generate_range(0..all.len())];
+        let mut closed = true;
+        if let Some(open) = self.seen.0.borrow_mut().open.get_mut(&call) {
+            open.out = None;
+            if !matches!(outcome, TurnedAway | NoConnection | NotSent) {
+                open.ran.get_or_insert(open.sent);
+            }
+            closed = false;
+        }
+        if outcome == Proxied {
+            self.seen.0.borrow_mut().open.remove(&call);
+            closed = true;
+        }
+        let settled = [None, Some(1.0), Some(1e6)][self.rng.generate_range(0..3usize)];
+        let latency = Duration::from_millis(self.rng.generate_range(0..900u64));
+        let load = BTreeMap::new();
+        self.control.ended(&call, number, Ended { outcome, latency, closed, settled, load });
+    }
+
+    fn gone(&mut self) {
+        let call = {
+            let open = &mut self.seen.0.borrow_mut().open;
+            let place = self.rng.generate_range(0..open.len().max(1));
+            let call = open.keys().nth(place).cloned();
+            call.inspect(|call| drop(open.remove(call)))
+        };
+        if let Some(call) = call {
+            self.control.gone(&call);
+        }
+    }
+}
+
+#[test]
+fn what_must_be_true_is_true_under_any_settings() {
+    for seed in 0..1500 {
+        let mut day = Day::new(seed);
+        day.list();
+        for _ in 0..250 {
+            match day.rng.generate_range(0..12u32) {
+                0 => day.list(),
+                1..=4 => day.call(),
+                5..=7 => day.counted(),
+                8 | 9 => day.ended(),
+                10 => day.gone(),
+                _ => {
+                    let by = [1, 20, 400, 2000][day.rng.generate_range(0..4usize)];
+                    day.go_on(Duration::from_millis(by));
+                }
+            }
+        }
+        day.go_on(Duration::from_secs(4));
+        let open = &day.seen.0.borrow().open;
+        assert!(open.is_empty(), "day {seed}: never answered: {:?}", open.keys().collect::<Vec<_>>());
+    }
+}
