Descriptors are budgeted by what the system gives; a gateway without a list is ready in 8 s

The budget went by the limits that the gateway is told. Where the system gives fewer, clients that rest fill all of them, and the connection to discovery cannot be opened anew (filled.txt on the old text: no call reaches discovery after it was away). A gateway that knows no list and whose discovery says nothing never answered PONG (ready.txt on the old text), while one that takes over 30 s is a refused start and nine in ten must be ready within 10 s. A missing connection time-out read as none at all, so that no new connection came up in time; missing limits refused the start, a memory of nothing held up every API call, and a missing client timeout closed clients with an answer on its way.

A name that somebody gave is no word of the wire.

Checked: descriptors of its own counted in /proc (nine, discovery, four of the counter's old lines, two that linger: 16).

Tests: filled.txt, ready.txt (red on the old text).

--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -64,7 +64,7 @@
     pub fn listen(reactor: &mut Reactor, at: SocketAddr) -> io::Result<Clients> {
         let mut listener = TcpListener::bind(at)?;
         reactor.registry.register(&mut listener, Side::Listener.token(0), Interest::READABLE)?;
-        let longest_wait = calls::longest_timeout(&reactor.facts);
+        let longest_wait = calls::longest_timeout(&reactor.facts).max(IDLE);
         let connections = Slab::new();
         let (waiting, room, ready, resume) = (false, false, false, vec![]);
         let lingering = Lingering::default();
@@ -307,7 +307,7 @@
             self.close(reactor, key, calls);
         }
         while reactor.held > reactor.budget.bytes {
-            let stalled = reactor.now.saturating_sub(reactor.facts.span("limits.connect_timeout"));
+            let stalled = reactor.now.saturating_sub(reactor.connect_timeout());
             let half = self.connections.iter().filter(|(_, client)| {
                 client.quiet() && !client.stream.input.is_empty() && client.used < stalled
             });
@@ -363,7 +363,7 @@
         let wait = match (self.known, self.stream.input.is_empty()) {
             (true, true) => Duration::ZERO,
             (true, false) => IDLE,
-            _ => reactor.facts.span("limits.connect_timeout"),
+            _ => reactor.connect_timeout(),
         };
         self.quiet() && self.used + wait <= reactor.now
     }
--- a/edge/src/counter.rs
+++ b/edge/src/counter.rs
@@ -118,7 +118,7 @@
         let limit = reactor.facts.span("counter.counter_timeout");
         // A connection on which calls wait, and nothing has come for longer than a new one and a call on it
         // would take, may belong to a machine that is gone without a word.
-        let patience = limit + reactor.facts.span("limits.connect_timeout");
+        let patience = limit + reactor.connect_timeout();
         let line = &self.lines[place];
         let silent =
             line.waiting.front().is_some_and(|call| call.at.max(line.heard) + patience < reactor.now);
--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -158,7 +158,7 @@
         // Pushed lists come from an agent on the gateway's own machine; else the fleet shares a service.
         let shared = facts.text("registry_mode") == "subscribe";
         let terms = Terms {
-            connect: facts.span("limits.connect_timeout"),
+            connect: reactor.connect_timeout(),
             grace: facts.span("rules.stop_sending_within"),
             within: facts.span("rules.ask_within"),
             sharing: shared.then(|| facts.number("gateways")),
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -38,6 +38,7 @@
     listen: SocketAddr,
     pub discovery: SocketAddr,
     seed: String,
+    #[serde(default)]
     limits: Limits,
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
@@ -48,7 +49,9 @@
     settings: Value,
 }
 
-#[derive(Deserialize)]
+/// What the process may hold; nothing: it was not told.
+#[derive(Default, Deserialize)]
+#[serde(default)]
 struct Limits {
     memory_mb: usize,
     sockets: usize,
@@ -74,7 +77,11 @@
     let mut signals = Signals::new([SIGTERM, SIGHUP])?;
     let registry = poll.registry().try_clone()?;
     registry.register(&mut signals, reactor::Side::Signal.token(0), Interest::READABLE)?;
-    let budget = budget::Budget::new(told.limits.sockets, told.limits.memory_mb);
+    let sockets = budget::descriptors(told.limits.sockets);
+    if sockets < told.limits.sockets {
+        slog::warn!(log, "the system gives fewer descriptors than the limits say"; "given" => sockets);
+    }
+    let budget = budget::Budget::new(sockets, told.limits.memory_mb);
     let mut reactor = reactor::Reactor::new(registry, facts.clone(), budget, log.clone());
     let clients = clients::Clients::listen(&mut reactor, told.listen)?;
     let peers = match told.peer_listen.filter(|_| facts.flag("limits.peers")) {
@@ -96,6 +103,7 @@
         discovery,
         peers,
         signals,
+        started: now,
         seconds: 0,
         next_second: now,
     }));
--- a/edge/src/lingering.rs
+++ b/edge/src/lingering.rs
@@ -39,7 +39,7 @@
         if stream.half_close(reactor, Side::Lingering, key).is_err() {
             return stream.close(reactor);
         }
-        let wait = reactor.facts.span("limits.connect_timeout").clamp(LEAST, MOST);
+        let wait = reactor.connect_timeout().clamp(LEAST, MOST);
         self.connections.insert(Ending { stream, until: reactor.now + wait, bytes: BYTES });
         self.ready(reactor, key);
     }
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -66,7 +66,7 @@
 /// one takes to come up, a quarter at most, since the server's end and a command may cross.
 fn stands(reactor: &Reactor) -> Option<Duration> {
     let idle = reactor.facts.span("limits.idle_close");
-    let ahead = reactor.facts.span("limits.connect_timeout").min(idle / 4);
+    let ahead = reactor.connect_timeout().min(idle / 4);
     (!idle.is_zero()).then(|| idle - ahead)
 }
 
@@ -182,8 +182,7 @@
         let upstream = &mut self.connections[key];
         must!(reactor, upstream.job.is_none(), "one upstream try on a connection");
         upstream.stream.put(reactor, |out| api_call.put(out, until.saturating_sub(now)));
-        let coming_up =
-            if upstream.stream.up { until } else { now + reactor.facts.span("limits.connect_timeout") };
+        let coming_up = if upstream.stream.up { until } else { now + reactor.connect_timeout() };
         let due =
             reactor.at(until.min(whole_by).min(coming_up), Due::Try { key, connection: upstream.connection });
         let (call, sent) = (call.clone(), now);
@@ -297,7 +296,7 @@
             Ok(None) => {
                 if !std::mem::replace(&mut job.part, true) {
                     reactor.unset(job.due);
-                    let soon = job.until.min(reactor.now + reactor.facts.span("limits.connect_timeout"));
+                    let soon = job.until.min(reactor.now + reactor.connect_timeout());
                     job.due = reactor.at(soon, Due::Try { key, connection: upstream.connection });
                 }
                 return;
--- a/edge/src/reactor.rs
+++ b/edge/src/reactor.rs
@@ -160,6 +160,13 @@
         self.shutdown.is_some_and(|shutdown| shutdown.answers <= self.now)
     }
 
+    /// How long a connection may take to come up; where the settings do not say, as long as the system waits before it
+    /// asks for one again.
+    pub fn connect_timeout(&self) -> Duration {
+        let stated = Some(self.facts.span("limits.connect_timeout"));
+        stated.filter(|span| !span.is_zero()).unwrap_or(Duration::from_secs(1))
+    }
+
     /// How long until something falls due.
     pub fn next_wait(&self) -> Option<Duration> {
         self.due.keys().next().map(|next| next.0.saturating_sub(self.clock.now()))
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -15,6 +15,11 @@
 use std::time::Duration;
 use wellcrank::port::*;
 
+/// A gateway that has no server list, since its configuration holds none and discovery says nothing, is ready so long
+/// after its start all the same: nine in ten restarted ones must be within 10 s. Harm: API calls come to it that others
+/// could serve; it refuses them at once, with advice.
+const READY: Duration = Duration::from_secs(8);
+
 pub struct World {
     pub reactor: Reactor,
     pub calls: Calls,
@@ -24,6 +29,7 @@
     pub discovery: Discovery,
     pub peers: Peers,
     pub signals: Signals,
+    pub started: Duration,
     /// Seconds since the start, and when the next one is due.
     pub seconds: u64,
     pub next_second: Duration,
@@ -107,6 +113,10 @@
             return;
         }
         (self.seconds, self.next_second) = (self.seconds + 1, reactor.now + Duration::from_secs(1));
+        if reactor.now >= self.started + READY && !clients.ready {
+            slog::warn!(reactor.log, "no server list yet, but ready: API calls are refused until it comes");
+            clients.ready = true;
+        }
         if self.seconds.is_multiple_of(60) {
             reactor.tally.report(&reactor.log, calls.len(), clients.len(), pool.len(), reactor.held);
         }
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -10,7 +10,9 @@
 //! up a                            connections to a come up from now on, those that are coming up too
 //! unsaid a                        a connection of the node to a has ended with no command on it
 //! paused; resumed                 the node stands still; it goes on, and meets at once all that has happened
+//! ready                           in time, the node answers that it serves
 //! met                             the node has met all that happened before
+//! descriptors 24                  the system gives the node no more than these
 //! known                           the node's configuration will hold the list as it is now (else as it is at its start)
 //! node                            starts the node, which knows the servers so far
 //! list a! b- c d@9                discovery tells: a drains, b is gone, c is there, d started anew at 9 ms of Unix time
@@ -310,6 +312,7 @@
     named: Vec<(String, Arc<AtomicBool>)>,
     file: PathBuf,
     known: Option<String>,
+    descriptors: Option<u32>,
     node: Option<Child>,
     at: String,
     seen: Option<(Sender<Seen>, Receiver<Seen>)>,
@@ -395,7 +398,15 @@
     fn start(&mut self, scenario: &str) {
         self.file = std::env::temp_dir().join(format!("wellcrank-{}-{scenario}.json", std::process::id()));
         self.write();
-        let mut node = Command::new(env!("CARGO_BIN_EXE_wellcrank-edge"));
+        let node = env!("CARGO_BIN_EXE_wellcrank-edge");
+        let mut node = match self.descriptors {
+            None => Command::new(node),
+            Some(most) => {
+                let mut shell = Command::new("sh");
+                shell.args(["-c", &format!("ulimit -n {most}; exec {node}")]);
+                shell
+            }
+        };
         let log = std::fs::File::create(self.file.with_extension("log")).expect("a file for the log");
         let node = node.env("BALANCER_CONFIG", &self.file).stderr(Stdio::from(log));
         self.node = Some(node.spawn().expect("the node starts"));
@@ -447,6 +458,14 @@
         }
     }
 
+    /// Asks on a connection of its own whether the node serves.
+    fn ping(&self) -> String {
+        let mut socket = TcpStream::connect(&self.at).expect("the node accepts");
+        socket.set_read_timeout(Some(PATIENCE)).unwrap();
+        socket.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+        line(&mut BufReader::new(socket)).expect("an answer")
+    }
+
     /// Takes in what app servers have seen.
     fn look(&mut self) {
         for seen in self.seen.get_or_insert_with(channel).1.try_iter() {
@@ -503,13 +522,8 @@
             }
             ["resumed"] => self.signal("-CONT"),
             // What happened before reaches the node no later than this.
-            ["met"] => {
-                let mut socket = TcpStream::connect(&self.at).expect("the node accepts");
-                socket.set_read_timeout(Some(PATIENCE)).unwrap();
-                socket.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
-                let said = line(&mut BufReader::new(socket)).expect("an answer");
-                assert_eq!(said, "+PONG");
-            }
+            ["met"] => assert_eq!(self.ping(), "+PONG"),
+            ["ready"] => self.until(|stage| (stage.ping() == "+PONG").then_some(())),
             ["refuse", name] => {
                 self.servers[name].on.store(false, Ordering::SeqCst);
                 // The listener looks when somebody comes, and is dropped.
@@ -545,6 +559,7 @@
                 let error = self.client(client).get_ref().take_error().expect("its state");
                 assert!(error.is_none(), "{error:?}");
             }
+            ["descriptors", most] => self.descriptors = Some(most.parse().unwrap()),
             ["known"] => self.known = Some(told(&self.list)),
             ["connect", client] => drop(self.client(client)),
             ["raw", client, ..] => {
--- a/words/src/lib.rs
+++ b/words/src/lib.rs
@@ -36,6 +36,11 @@
     }
 }
 
+/// A value, where it is one of the wire's words; a name that somebody gave stays as it is.
+fn value_of(text: &str) -> &str {
+    WORDS.iter().find(|(wire, _)| *wire == text).map_or(text, |(_, ours)| ours)
+}
+
 /// The settings as a plain map of our names to values.
 pub fn facts(settings: &Value) -> Facts {
     let mut facts = Facts::default();
@@ -70,7 +75,7 @@
             facts.0.insert(path.to_string(), Fact::Number(number.as_f64().unwrap_or(0.0) * scale));
         }
         Value::String(text) => {
-            facts.0.insert(path.to_string(), Fact::Text(ours(text).to_string()));
+            facts.0.insert(path.to_string(), Fact::Text(value_of(text).to_string()));
         }
         Value::Bool(flag) => {
             facts.0.insert(path.to_string(), Fact::Flag(*flag));
