A plan that states no cap takes no hold on the counter

Change: no cap, no hold; the units' name on the counter meters such a plan. A plan with a cap goes the whole way as before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -39,6 +39,7 @@
 const ROUND: f64 = 5.0; // so many answers are a round, in a smaller room all of it
 const COLD_SHARE: f64 = 0.4; // of a cold server's budget: permits of two windows may arrive half a window late
 const TRY_SHARE: f64 = 0.2; // further tries paid by an API call taken
+const NO_HOLD: u64 = 0; // stands for the hold of a try whose plan has no cap; ids of holds are above
 
 pub struct Control {
     facts: Facts,
@@ -102,11 +103,9 @@
         self.facts.number("gateways").max(1.0)
     }
 
-    /// The cap on upstream tries out at once; a plan that states none is counted under a generous one: all
-    /// that its burst and two seconds of its rate could put out.
-    fn cap(&self, plan: &PlanName) -> f64 {
-        let (stated, (rate, burst, _)) = (self.facts.plan(plan, "cap"), self.terms(plan));
-        Some(stated).filter(|cap| *cap > 0.0).unwrap_or((burst + rate * 2.0).max(4.0).ceil())
+    /// The cap on a customer's upstream tries out at once; a plan may state none.
+    fn cap(&self, plan: &PlanName) -> Option<f64> {
+        Some(self.facts.plan(plan, "cap")).filter(|cap| *cap > 0.0)
     }
 
     /// A plan's rate and burst, and the length of its windows in seconds.
@@ -173,7 +172,8 @@
         account.demand = account.demand * (-idle / window).exp() + arrival.units / window;
         account.asked = now;
         let spent = account.refused_until > now;
-        let part = if rate > 0.0 { burst } else { self.cap(&arrival.plan) } / spread;
+        let cap = self.cap(&arrival.plan).unwrap_or(f64::INFINITY);
+        let part = if rate > 0.0 { burst } else { cap } / spread;
         self.bears.thin += (f64::from(u8::from(part < arrival.units)) - self.bears.thin) * 0.02;
         self.bears.value += (self.value(&arrival) - self.bears.value) * 0.05;
         self.fleet.further = (self.fleet.further + TRY_SHARE).min(10.0);
@@ -334,26 +334,27 @@
     /// Step 2: adds one and waits for the total. The hold is kept by the account until it is released;
     /// refused, the result tells how many calls are ahead. In silence a gateway's own tries stay in its
     /// share of the cap, as its units do: an outage would else admit all. Harm: an uneven customer is
-    /// refused at its busy gateway.
+    /// refused at its busy gateway. A plan without a cap has nothing to hold its customers under.
     fn hold(&mut self, call: &CallId, next: Next<Result<u64, f64>>) {
         let arrival = &self.calls[call].arrival;
-        let (customer, cap) = (arrival.customer.clone(), self.cap(&arrival.plan));
+        let Some(cap) = self.cap(&arrival.plan) else { return next(self, Ok(NO_HOLD)) };
+        let customer = arrival.customer.clone();
         let (rate, _, window) = self.terms(&arrival.plan);
-        let (stated, units) = (self.facts.plan(&arrival.plan, "cap") > 0.0, arrival.units);
+        let units = arrival.units;
         // How long a unit of demand is out: the route's usual latency.
         let each = self.usual.get(&arrival.route).copied().unwrap_or(0.0) / units.max(1.0);
         let cheap = self.cheap(arrival, 1.0);
         let (owner, period) = (customer.clone(), self.stretch(&customer, PERIOD, self.now).0);
         self.next_id += 1;
         let id = self.next_id;
-        // Calls being scarce, a cap that was not stated goes uncounted: the units' name tells enough. In a
-        // thin fleet a stated one does too, until the units seen in this window could fill it: two calls
-        // for a hold leave none to ask for the units. Harm: others' tries under a cap are seen late.
+        // Calls being scarce in a thin fleet, a cap goes uncounted until the units seen in this window could
+        // fill it: two calls for a hold leave none to ask for the units. Harm: others' tries under a cap are
+        // seen late.
         let fills = |known: &Account| {
             let this = self.stretch(&customer, Duration::from_secs_f64(window), self.now).0;
             known.window == this && known.total >= cap
         };
-        let asks = stated && (self.bears.thin < THIN || self.accounts.get(&customer).is_some_and(fills));
+        let asks = self.bears.thin < THIN || self.accounts.get(&customer).is_some_and(fills);
         let unasked = rate > 0.0 && !asks && !self.skipping() && !self.may_call(SPARE);
         let silent = unasked || !self.may_call(cheap);
         let told = move |c: &mut Control, counted| {
