Retry-after tells when the cap or the store is free again

Advice of 5 s per call ahead is more than clients follow (max_retry_after 1 s there), so all come again after a second, too late; a cap of 2 to 4 tries is free again after a tenth of one.

Ruled out: server queues (late first tries were 19 of 19,647).

Lines at fault: ADVICE and `answer` in src/control.rs: the figure is that of calls of many seconds.

Change: past a cap the advice is the usual latency of the route for each call ahead; for a spent store the time until it holds the units, which was known already (`refused_until`); 5 s where nothing better is known, as when shedding; 50 ms at the least, 30 s at most.

Tests: the scenarios expect the times that follow from their own totals in place of 5.

--- a/src/control.rs
+++ b/src/control.rs
@@ -26,8 +26,9 @@
 const SHORTEST: f64 = 0.1; // a window, in seconds, whatever the settings say
 const LONGEST: f64 = 1e6;
 const AHEAD: f64 = 0.5; // of a window: a block's recent demand while calls are scarce
-const ADVICE: Duration = ms(5000); // per call ahead
-const LONGEST_ADVICE: Duration = ms(30_000);
+const RETRY_AFTER: Duration = ms(5000); // advice to a client where nothing better is known
+const LEAST_RETRY_AFTER: Duration = ms(50);
+const LONGEST_RETRY_AFTER: Duration = ms(30_000);
 const TICK: Duration = ms(50); // the one periodic timer
 const CALM: f64 = 0.5; // who asks for less than this share of its rate has left its store alone
 const SHED_FROM: f64 = 0.6; // share of the room in use from which little worth for the work is refused
@@ -180,24 +181,30 @@
         let (call, timed, customer) = (arrival.call.clone(), arrival.call.clone(), arrival.customer.clone());
         let last = arrival.until.saturating_sub(self.leeway()).max(now);
         self.calls.insert(call.clone(), Call::new(arrival, now, self.skipping()));
-        if spent || self.crowded(&call) {
-            return self.answer(&call, 1.0);
+        if spent {
+            return self.answer(&call, self.until_refill(&customer));
+        }
+        if self.crowded(&call) {
+            return self.answer(&call, RETRY_AFTER);
         }
         // Its last moment. What is refused at once needs none, and would wake a gateway in vain.
-        self.at(last, Box::new(move |c, ()| c.answer(&timed, 1.0)));
+        self.at(last, Box::new(move |c, ()| c.answer(&timed, RETRY_AFTER)));
         self.hold(&call.clone(), Box::new(move |c, hold| c.held(call, customer, hold)));
     }
 
     /// The first try's hold was taken or refused: only now units are charged.
     fn held(&mut self, call: CallId, customer: CustomerId, hold: Result<u64, f64>) {
-        let Ok(held) = hold else { return self.answer(&call, hold.unwrap_err()) };
+        let held = match hold {
+            Ok(held) => held,
+            Err(ahead) => return self.answer(&call, self.until_free(&call, ahead)),
+        };
         let paid = call.clone();
         let charged = move |c: &mut Control, enough| {
             if enough {
                 return c.send(paid, customer, held);
             }
             c.release(&customer, held);
-            c.answer(&paid, 1.0);
+            c.answer(&paid, c.until_refill(&customer));
         };
         self.charge(&call, Box::new(charged));
     }
@@ -224,7 +231,7 @@
 
     /// Its time is up sooner than it was told: it is answered now.
     pub fn expired(&mut self, call: &CallId) {
-        self.answer(call, 1.0);
+        self.answer(call, RETRY_AFTER);
     }
 
     /// The answer has begun to stream: the try belongs to the client, and no time limit runs on.
@@ -645,7 +652,7 @@
         if barred || (first && !self.under_ceiling(&customer, &plan, units, unsure)) {
             self.release(&customer, hold);
             self.settle(&customer, if first { -units } else { 0.0 }, unsure);
-            return self.answer(&call, 1.0);
+            return self.answer(&call, RETRY_AFTER);
         }
         let (now, at) = (self.now, drawn.expect("else barred"));
         let share = self.share(&self.servers[&at]);
@@ -764,12 +771,12 @@
         let late = self.patience(&self.calls[call]) < ms(50);
         let tried = f64::from(tries) >= self.facts.number("limits.max_attempts");
         if late || barred || tried || self.fleet.further < 1.0 {
-            return self.answer(call, 1.0);
+            return self.answer(call, RETRY_AFTER);
         }
         self.fleet.further -= 1.0;
         let again = call.clone();
         let held = move |c: &mut Control, hold| match hold {
-            Err(ahead) => c.answer(&again, ahead),
+            Err(ahead) => c.answer(&again, c.until_free(&again, ahead)),
             Ok(hold) => c.send(again, customer, hold),
         };
         self.hold(call, Box::new(held));
@@ -793,8 +800,26 @@
         self.facts.span("resolution") * 2
     }
 
+    /// Advice under a full cap: the calls ahead take the route's usual latency each. Where that is not known yet,
+    /// as the design has it.
+    fn until_free(&self, call: &CallId, ahead: f64) -> Duration {
+        let route = self.calls.get(call).map(|asked| &asked.arrival.route);
+        let usual = route.and_then(|route| self.usual.get(route)).copied().map(seconds);
+        usual.unwrap_or(RETRY_AFTER).mul_f64(ahead.clamp(1.0, 99.0))
+    }
+
+    /// Advice to a customer whose store can't hold the units yet: when it will, as far as the totals have told.
+    fn until_refill(&self, customer: &CustomerId) -> Duration {
+        let until = self.accounts.get(customer).map_or(Duration::ZERO, |account| account.refused_until);
+        if until > self.now {
+            until - self.now
+        } else {
+            RETRY_AFTER
+        }
+    }
+
     /// The one final answer. Rate-limited where it is harmless to come again, else errored.
-    fn answer(&mut self, call: &CallId, ahead: f64) {
+    fn answer(&mut self, call: &CallId, retry_after: Duration) {
         let Some(asked) = self.finish(call) else { return };
         let route = &asked.arrival.route;
         let harmless = match self.facts.said(route, "repeat") {
@@ -803,7 +828,7 @@
             _ => asked.out.is_none() && asked.ran.is_none(),
         };
         match harmless {
-            true => self.port.rate_limit(call, ADVICE.mul_f64(ahead.clamp(1.0, 99.0)).min(LONGEST_ADVICE)),
+            true => self.port.rate_limit(call, retry_after.clamp(LEAST_RETRY_AFTER, LONGEST_RETRY_AFTER)),
             false => self.port.error(call),
         }
     }
