Losses are kept for each server and route, and lean on what the route loses

Ruled out: queues (p50 of served calls 38 ms throughout), drains.

Lines at fault: `distrust` of a server in src/control.rs: one figure for all its routes, halved every 4 s, while a gateway of 25 calls a second meets a server every 3 s; two draws of which both are struck in a third of the cases; nothing learnt of one server says anything of the next.

Change: a loss rate for each server and route, tries counting half after 8 s. Six draws in place of four; suspects come last; a loss weighs as (1 - loss)^-3 on the load.

--- a/src/control.rs
+++ b/src/control.rs
@@ -33,8 +33,12 @@
 const CALM: f64 = 0.5; // who asks for less than this share of its rate has left its store alone
 const SHED_FROM: f64 = 0.6; // share of the room in use from which little worth for the work is refused
 const FORGET: Duration = ms(60_000); // a customer not heard of for so long
-const DISTRUST_HALF: f64 = 4.0; // seconds
-const DRAWS: u32 = 4; // of servers, before the list is looked through
+const LOSS_HALF: f64 = 8.0; // seconds after which a loss counts half
+const SERVER_PRIOR: f64 = 2.0; // tries by which a server's losses lean on the route's
+const ROUTE_PRIOR: f64 = 5.0; // tries by which a route's losses lean on none
+const ERROR_LOSS: f64 = 0.25; // an answered error, against an answer that never came
+const SUSPECT: (f64, f64) = (2.0, 0.05); // losses over this multiple of the route's, and this share more
+const DRAWS: u32 = 6; // of servers, before the list is looked through
 const ROOM: f64 = 16.0; // tries open at a server to start with, over all gateways
 const QUICK: f64 = 0.25; // share of the latency target within which an answer is quick
 const ROUND: f64 = 5.0; // so many answers are a round, in a smaller room all of it
@@ -65,6 +69,8 @@
     fleet: Fleet,
     /// Usual latency of each route, in seconds.
     usual: BTreeMap<RouteName, f64>,
+    /// Losses of each route at all servers.
+    losses: BTreeMap<RouteName, LossRate>,
     /// Pace of each kind of machine, as one server is seen too seldom: latency against the route's usual.
     kinds: BTreeMap<String, f64>,
 }
@@ -90,6 +96,7 @@
             bears: Bears { quick_to: f64::INFINITY, thin: THIN, filled: now, ..Bears::default() },
             fleet: Fleet { further: 3.0, room: f64::INFINITY, pace: f64::INFINITY, ..Fleet::default() },
             usual: BTreeMap::new(),
+            losses: BTreeMap::new(),
             kinds: BTreeMap::new(),
         };
         control.bears.pace = START_PACE / control.gateways();
@@ -587,12 +594,25 @@
         value < bar
     }
 
-    fn cost(&self, server: &ServerId) -> f64 {
-        let server = &self.servers[server];
-        let distrust = server.distrust_at(self.now, DISTRUST_HALF);
+    /// The share of a route's tries that is lost anywhere.
+    fn route_loss(&self, route: &RouteName) -> f64 {
+        self.losses.get(route).map_or(0.0, |known| known.estimate(self.now, 0.0, ROUTE_PRIOR))
+    }
+
+    /// The share of the route's tries that this server is likely to lose. It is kept for each route, as a server
+    /// may leave one unanswered and serve the others, and leans on what the route loses anywhere: where many
+    /// servers are struck, one that is not known yet is less trusted than one that answers.
+    fn loss(&self, server: &Server, route: &RouteName, anywhere: f64) -> f64 {
+        let known = server.losses.get(route);
+        known.map_or(anywhere, |known| known.estimate(self.now, anywhere, SERVER_PRIOR))
+    }
+
+    /// Load against ability; a loss costs all that a queue can cost and more.
+    fn cost(&self, server: &Server, loss: f64) -> f64 {
         let able = server.listed.weight.max(0.1) * self.warmth(server);
         let kind = self.kinds.get(&server.listed.kind).copied().unwrap_or(1.0);
-        (f64::from(server.open) + 1.0) * kind * server.pace * (1.0 + distrust) / able
+        let load = (f64::from(server.open) + 1.0) * kind * server.pace / able;
+        load / (1.0 - loss.min(0.95)).powi(3)
     }
 
     /// Draws two servers that are able, looking through the whole list only where a few draws find fewer, and
@@ -603,6 +623,7 @@
         rng: &mut WyRand,
         able: &dyn Fn(&Server) -> bool,
         last: Option<&ServerId>,
+        route: &RouteName,
     ) -> Option<ServerId> {
         let (some, fits) =
             (!self.own.is_empty(), |id: &&ServerId| Some(*id) != last && able(&self.servers[*id]));
@@ -616,10 +637,14 @@
             found = if found.is_empty() { self.ids.iter().filter(others).collect() } else { found };
             rng.shuffle(&mut found);
         }
+        let anywhere = self.route_loss(route);
+        let loss = |id: &ServerId| self.loss(&self.servers[id], route, anywhere);
+        found.sort_by_key(|id| loss(id) > anywhere * SUSPECT.0 + SUSPECT.1);
         found.truncate(2);
         let again = || last.filter(|id| self.servers.get(*id).is_some_and(able));
         let [one, two] = found[..] else { return found.pop().or_else(again).cloned() };
-        let (first, second) = (self.cost(one), self.cost(two));
+        let cost = |id: &ServerId| self.cost(&self.servers[id], loss(id));
+        let (first, second) = (cost(one), cost(two));
         let alike = self.servers[one].open + self.servers[two].open == 0;
         let chance = if alike { rng.generate::<f64>() } else { 0.5 };
         Some(if first * chance <= second * (1.0 - chance) { one } else { two }.clone())
@@ -646,7 +671,7 @@
             (Some(ran), _) => ran.cell == server.listed.cell,
         };
         let able = |at: &Server| at.listed.phase == Phase::Ready && harmless(at) && self.has_room(at);
-        let drawn = self.draw(&mut rng, &able, asked.last.as_ref());
+        let drawn = self.draw(&mut rng, &able, asked.last.as_ref(), &route);
         let (first, unsure, plan) = (asked.tries == 0, asked.unsure, asked.arrival.plan.clone());
         let barred = drawn.is_none() || left.is_zero() || asked.out.is_some();
         if barred || (first && !self.under_ceiling(&customer, &plan, units, unsure)) {
@@ -671,6 +696,7 @@
         self.port.send(&call, &at, left, whole_by);
         let key = (call.clone(), number);
         let over = move |c: &mut Control, end: Ended| {
+            c.note_loss(&at, &route, &end);
             c.judge(&at, &route, &end);
             c.release(&customer, hold);
             c.settle(&customer, end.settled.map_or(0.0, |settled| settled - units), unsure);
@@ -725,24 +751,38 @@
         let usual = self.usual.entry(route.clone()).or_insert(took.max(0.001));
         let Some(server) = self.servers.get_mut(server) else { return };
         server.open = server.open.saturating_sub(1);
-        (server.distrust, server.faded) = (server.distrust_at(now, DISTRUST_HALF), now);
         if matches!(end.outcome, Outcome::Proxied | Outcome::TimedOut) {
             let (kind, pace) = (self.kinds.entry(server.listed.kind.clone()).or_insert(1.0), took / *usual);
             server.pace += ((pace / *kind).clamp(0.2, 10.0) - server.pace) * 0.1;
             *kind += (pace.clamp(0.2, 10.0) - *kind) * 0.05;
         }
-        match end.outcome {
-            Outcome::Proxied => {
-                // Its lower third, so that queues do not make quick routes look like much work.
-                *usual *= if took > *usual { 1.01 } else { 0.98 };
-                if warm {
-                    let faded = (-now.saturating_sub(self.fleet.done.1).as_secs_f64() / 10.0).exp();
-                    self.fleet.done = (self.fleet.done.0 * faded + 0.1, now);
-                }
+        if end.outcome == Outcome::Proxied {
+            // Its lower third, so that queues do not make quick routes look like much work.
+            *usual *= if took > *usual { 1.01 } else { 0.98 };
+            if warm {
+                let faded = (-now.saturating_sub(self.fleet.done.1).as_secs_f64() / 10.0).exp();
+                self.fleet.done = (self.fleet.done.0 * faded + 0.1, now);
             }
-            Outcome::TimedOut | Outcome::NoConnection | Outcome::Broken => server.distrust += 2.0,
-            Outcome::ServerError => server.distrust += 0.5,
-            _ => (),
+        }
+    }
+
+    /// A try was lost, or was not; what comes after the latency target is worth little or nothing. A server that
+    /// can't be reached is so for every route.
+    fn note_loss(&mut self, server: &ServerId, route: &RouteName, end: &Ended) {
+        let target = self.facts.route_span(route, "latency_target");
+        let lost = match end.outcome {
+            Outcome::Cancelled | Outcome::NotSent => return,
+            Outcome::Proxied if !target.is_zero() && end.latency > target => 1.0,
+            Outcome::TimedOut | Outcome::NoConnection | Outcome::Broken => 1.0,
+            Outcome::ServerError => ERROR_LOSS,
+            Outcome::Proxied | Outcome::TurnedAway => 0.0,
+        };
+        let now = self.now;
+        self.losses.entry(route.clone()).or_insert_with(|| LossRate::new(LOSS_HALF)).add(now, lost);
+        let Some(server) = self.servers.get_mut(server) else { return };
+        server.losses.entry(route.clone()).or_insert_with(|| LossRate::new(LOSS_HALF)).add(now, lost);
+        if matches!(end.outcome, Outcome::NoConnection | Outcome::Broken) {
+            server.losses.values_mut().for_each(|known| known.add(now, lost));
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -47,8 +47,8 @@
     pub open: u32,
     /// Latency against the route's usual one, as a moving mean.
     pub pace: f64,
-    pub distrust: f64,
-    pub faded: Duration,
+    /// Losses of each route here.
+    pub losses: BTreeMap<RouteName, LossRate>,
     /// By which this gateway's share of a cold server's budget is kept.
     pub ramp: Ramp,
 }
@@ -56,13 +56,37 @@
 impl Server {
     /// As nothing is known of it yet.
     pub fn fresh(listed: Listed, open: u32, ramp: Ramp) -> Self {
-        let faded = Duration::ZERO;
-        Server { listed, open, pace: 1.0, distrust: 0.0, faded, ramp }
+        Server { listed, open, pace: 1.0, losses: BTreeMap::new(), ramp }
+    }
+}
+
+/// How many of recent tries were lost; tries fade with time.
+pub struct LossRate {
+    half_life: f64,
+    tries: f64,
+    lost: f64,
+    at: Duration,
+}
+
+impl LossRate {
+    /// Tries count half after so many seconds.
+    pub fn new(half_life: f64) -> LossRate {
+        LossRate { half_life, tries: 0.0, lost: 0.0, at: Duration::ZERO }
+    }
+
+    fn faded(&self, now: Duration) -> f64 {
+        0.5f64.powf(now.saturating_sub(self.at).as_secs_f64() / self.half_life)
+    }
+
+    pub fn add(&mut self, now: Duration, lost: f64) {
+        let faded = self.faded(now);
+        (self.tries, self.lost, self.at) = (self.tries * faded + 1.0, self.lost * faded + lost, now);
     }
 
-    /// Distrust as it has faded since it was last moved; `half` in seconds.
-    pub fn distrust_at(&self, now: Duration, half: f64) -> f64 {
-        self.distrust * 0.5f64.powf(now.saturating_sub(self.faded).as_secs_f64() / half)
+    /// The share lost, as though `weight` tries more had lost the share `prior`.
+    pub fn estimate(&self, now: Duration, prior: f64, weight: f64) -> f64 {
+        let faded = self.faded(now);
+        (self.lost * faded + prior * weight) / (self.tries * faded + weight)
     }
 }
 
