Settings are typed, checked and switched in a running node; control.rs is split by job

Symptom: a wrong setting read as zero, and a change of settings needed a restart; all decisions stood in one file of 875 lines, settings in a map of strings.

Change: - `Facts` is gone. `src/settings.rs` has the typed settings, package settings/ (words/ before) decodes the platform's JSON with serde and checks it: what can't be meant is told with its place (`contracts[1].refill: -2 is below nothing; expected 0 or more`); what is missing asks nothing, names that are not known are skipped, an unknown effect is the strictest, all as before. - SIGHUP takes the settings of the file too. An API call keeps the route's terms that it came with, holds and units stay counted where they were, a bad file changes nothing. The way back is the same step. - src/control/ has a file a job: admission, attempts, counter_pacing, holds, quota, server_choice, server_health; these are the policy files (808 lines with blank ones). src/control.rs keeps state and what waits, and decides nothing. - drill/ is simulator/. A gateway's longest wait follows the settings where it was taken at the start.

Checks: the split and the typed settings decide as before to the digit.

Tests: switched.txt and repeated.txt play the switch on sockets, both ways, with calls open; settings/ has its own; spoilt.txt, moved_on.txt and gone.txt no longer name the milliseconds of an advice that follows from measured latency; the scenarios of the decisions do. second.txt failed once while the whole workspace was being compiled beside it and in no run since.

--- a/edge/src/calls.rs
+++ b/edge/src/calls.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wellcrank::port::*;
+use wellcrank::settings::{Repeat, Settings};
 
 /// A client's command, checked once: its bytes, where its words stand, and what the decisions need of it.
 #[derive(Debug)]
@@ -29,14 +30,8 @@
 const LIST: usize = 1024;
 
 /// The most units that an API call may take, asked for or settled; a bound also where the settings state none.
-pub fn most_units(facts: &Facts) -> f64 {
-    Some(facts.number("counter.units_top")).filter(|top| *top > 0.0).unwrap_or(1e6)
-}
-
-/// The longest client timeout of any route; a client says less at most times.
-pub fn longest_timeout(facts: &Facts) -> Duration {
-    let names = facts.0.keys().filter(|name| name.ends_with(".client_timeout"));
-    names.map(|name| facts.span(name)).max().unwrap_or_default()
+pub fn most_units(settings: &Settings) -> f64 {
+    Some(settings.counter.most_units).filter(|top| *top > 0.0).unwrap_or(1e6)
 }
 
 /// A number in 16 hex digits.
@@ -61,7 +56,12 @@
 
     /// Checks the words of an API call, the one place where that is done: which route, whose, for how long.
     /// Says what is wrong.
-    pub fn new(bytes: &[u8], words: Words, facts: &Facts, calls: &Calls) -> Result<ApiCall, &'static str> {
+    pub fn new(
+        bytes: &[u8],
+        words: Words,
+        settings: &Settings,
+        calls: &Calls,
+    ) -> Result<ApiCall, &'static str> {
         let word = |place: usize| words.get(place).map_or(&[][..], |word| &bytes[word.clone()]);
         let query = word(0).eq_ignore_ascii_case(b"SVC.QUERY");
         if words.len() != if query { 4 } else { 5 } {
@@ -76,7 +76,7 @@
         if list.len() > LIST || !list.bytes().all(|byte| byte.is_ascii_graphic()) {
             return Err("an unreadable list");
         }
-        let gateways = facts.number("gateways").max(1.0);
+        let gateways = f64::from(settings.gateways.max(1));
         let (mut route, mut plan, mut key, mut wait) = ("", "", "", 0.0);
         let (mut units, mut first, mut spread) = (1.0, 0.0, 1.0);
         let mut seen = Vec::with_capacity(8);
@@ -91,20 +91,22 @@
                 "t" => plan = value,
                 "k" => key = value,
                 "d" => wait = within(value, 1e-3, LONGEST)?,
-                "units" => units = within(value, 1e-3, most_units(facts))?,
+                "units" => units = within(value, 1e-3, most_units(settings))?,
                 "first" => first = within(value, 0.0, gateways - 1.0)?,
                 "spread" => spread = within(value, 1.0, gateways)?,
                 _ => (),
             }
         }
         let (route, plan): (RouteName, PlanName) = (route.into(), plan.into());
-        match facts.said(&route, "repeat") {
-            "" => return Err("no such route"),
-            repeat if query != (repeat == "idempotent") => return Err("not the command for this route"),
-            "tokened" if key.is_empty() => return Err("no key"),
+        match settings.routes.get(&route).map(|route| route.repeat) {
+            None => return Err("no such route"),
+            Some(repeat) if query != (repeat == Repeat::Idempotent) => {
+                return Err("not the command for this route");
+            }
+            Some(Repeat::Tokened) if key.is_empty() => return Err("no key"),
             _ => (),
         }
-        if !facts.has_plan(&plan) {
+        if !settings.plans.contains_key(&plan) {
             return Err("no such plan");
         }
         if wait <= 0.0 {
--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -56,19 +56,16 @@
     resume: Vec<usize>,
     /// A server list is known.
     pub ready: bool,
-    /// The longest that a client waits for an answer.
-    longest_wait: Duration,
 }
 
 impl Clients {
     pub fn listen(reactor: &mut Reactor, at: SocketAddr) -> io::Result<Clients> {
         let mut listener = TcpListener::bind(at)?;
         reactor.registry.register(&mut listener, Side::Listener.token(0), Interest::READABLE)?;
-        let longest_wait = calls::longest_timeout(&reactor.facts).max(IDLE);
         let connections = Slab::new();
         let (waiting, room, ready, resume) = (false, false, false, vec![]);
         let lingering = Lingering::default();
-        Ok(Clients { listener, connections, lingering, waiting, room, resume, ready, longest_wait })
+        Ok(Clients { listener, connections, lingering, waiting, room, resume, ready })
     }
 
     /// Connections, with those that the gateway has ended and the client has not yet.
@@ -178,7 +175,7 @@
                 Ok(None) if bytes.len() < resp::WHOLE => break,
                 Ok(None) => client.malformed(reactor, "too long a command"),
                 Ok(Some((words, end))) => {
-                    let most = reactor.facts.number("limits.max_open") as usize;
+                    let most = reactor.settings.limits.max_open as usize;
                     // Each open API call may yet bring a whole value.
                     let crowded = reactor.held + calls.len() * resp::VALUE > reactor.budget.bytes;
                     let full = crowded || (most > 0 && calls.len() >= most);
@@ -301,7 +298,8 @@
     /// memory is short, the largest half commands of clients with nothing open; others held up get a new
     /// chance.
     pub fn sweep(&mut self, reactor: &mut Reactor, calls: &mut Calls) {
-        let longest = self.longest_wait;
+        // A client waits no longer for an answer.
+        let longest = reactor.settings.longest_timeout().max(IDLE);
         let stuck = |client: &Client| client.stream.left() > 0 && client.used + longest < reactor.now;
         for key in self.keys(stuck) {
             self.close(reactor, key, calls);
@@ -397,7 +395,7 @@
         let word = |place: usize| words.get(place).map_or(&[][..], |word| &bytes[word.clone()]);
         let said = match word(0).to_ascii_uppercase().as_slice() {
             _ if ApiCall::is_named(bytes, &words) => {
-                match ApiCall::new(bytes, words, &reactor.facts, calls) {
+                match ApiCall::new(bytes, words, &reactor.settings, calls) {
                     Ok(api_call) => return self.call(reactor, key, number, api_call, calls),
                     Err(why) => format!("-ERR {why}\r\n"),
                 }
--- a/edge/src/counter.rs
+++ b/edge/src/counter.rs
@@ -115,7 +115,7 @@
 
     pub fn count(&mut self, reactor: &mut Reactor, name: CounterName, add: f64, keep: Duration) {
         let place = self.base + (name.0 % self.half() as u64) as usize;
-        let limit = reactor.facts.span("counter.counter_timeout");
+        let limit = reactor.settings.counter.timeout;
         // A connection on which calls wait, and nothing has come for longer than a new one and a call on it
         // would take, may belong to a machine that is gone without a word.
         let patience = limit + reactor.connect_timeout();
--- a/edge/src/discovery.rs
+++ b/edge/src/discovery.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use wellcrank::port::*;
+use wellcrank::settings::DiscoveryMode;
 use wellcrank_fleet::recall::{Failure, Recall, Terms};
 
 /// A list or a change of it, as discovery words it.
@@ -151,18 +152,22 @@
     rng: WyRand,
 }
 
+/// What the waits follow from, by the settings as they are.
+fn terms(reactor: &Reactor) -> Terms {
+    let settings = &reactor.settings;
+    // Pushed lists come from an agent on the gateway's own machine; else the fleet shares a service.
+    let shared = settings.discovery == DiscoveryMode::Subscribe;
+    Terms {
+        connect: reactor.connect_timeout(),
+        grace: settings.rules.stop_sending_within,
+        within: settings.rules.ask_within,
+        sharing: shared.then(|| f64::from(settings.gateways)),
+    }
+}
+
 impl Discovery {
     /// Follows the list at `at`, from the version `rev` that this gateway was told at its start, if any.
     pub fn new(at: SocketAddr, rev: Option<u64>, seed: u64, reactor: &Reactor) -> Discovery {
-        let facts = &reactor.facts;
-        // Pushed lists come from an agent on the gateway's own machine; else the fleet shares a service.
-        let shared = facts.text("registry_mode") == "subscribe";
-        let terms = Terms {
-            connect: reactor.connect_timeout(),
-            grace: facts.span("rules.stop_sending_within"),
-            within: facts.span("rules.ask_within"),
-            sharing: shared.then(|| facts.number("gateways")),
-        };
         Discovery {
             at,
             host: at.to_string(),
@@ -170,17 +175,23 @@
             key: 0,
             wanted: false,
             rev,
-            index: facts.number("index") as u32,
+            index: reactor.settings.index,
             fresh: true,
             next: Duration::ZERO,
             asking: false,
             asked: reactor.now,
             heard: reactor.now,
-            recall: Recall::new(terms),
+            recall: Recall::new(terms(reactor)),
             rng: WyRand::new_seed(seed),
         }
     }
 
+    /// The settings have changed: the waits follow from the new ones, the list and the watch stay.
+    pub fn reconfigure(&mut self, reactor: &Reactor) {
+        self.index = reactor.settings.index;
+        self.recall.change(terms(reactor));
+    }
+
     /// Discovery is elsewhere from now on: the list is followed there, whole at first, as its versions are its own.
     pub fn move_to(&mut self, reactor: &mut Reactor, at: SocketAddr) {
         if at != self.at {
--- a/edge/src/event_loop.rs
+++ b/edge/src/event_loop.rs
@@ -84,6 +84,7 @@
             Notification::Counted(name, counted) => control.counted(name, counted),
             Notification::Listed(whole, lines) => control.listed(whole, lines),
             Notification::Woken(token) => control.woken(token),
+            Notification::Reconfigured(settings) => control.reconfigure(settings),
         }
     }
 }
@@ -101,7 +102,7 @@
     }
     fn rate_limit(&mut self, call: &CallId, retry_after: Duration) {
         let world = &mut *self.0.borrow_mut();
-        let advised = world.reactor.facts.flag("limits.retry_after");
+        let advised = world.reactor.settings.limits.retry_after;
         world.reactor.tally.limited += 1;
         world.answer(call, |out| {
             let advice = format!("-BUSY {}\r\n", retry_after.as_millis());
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -30,6 +30,7 @@
 use std::rc::Rc;
 use std::sync::Mutex;
 use wellcrank::control::Control;
+use wellcrank::settings::DiscoveryMode;
 
 /// What a gateway is told when it starts, and on SIGHUP again; from then on where others are counts.
 #[derive(Deserialize)]
@@ -72,7 +73,7 @@
 }
 
 fn serve(told: Told, log: &Logger) -> Result<(), Box<dyn Error>> {
-    let facts = Rc::new(wellcrank_words::facts(&told.settings));
+    let settings = Rc::new(wellcrank_settings::decode(&told.settings)?);
     let mut poll = Poll::new()?;
     let mut signals = Signals::new([SIGTERM, SIGHUP])?;
     let registry = poll.registry().try_clone()?;
@@ -82,9 +83,9 @@
         slog::warn!(log, "the system gives fewer descriptors than the limits say"; "given" => sockets);
     }
     let budget = budget::Budget::new(sockets, told.limits.memory_mb);
-    let mut reactor = reactor::Reactor::new(registry, facts.clone(), budget, log.clone());
+    let mut reactor = reactor::Reactor::new(registry, settings.clone(), budget, log.clone());
     let clients = clients::Clients::listen(&mut reactor, told.listen)?;
-    let peers = match told.peer_listen.filter(|_| facts.flag("limits.peers")) {
+    let peers = match told.peer_listen.filter(|_| settings.limits.peers) {
         Some(at) => peers::Peers::listen(&mut reactor, at, told.peers, told.peers_all)?,
         None => peers::Peers::default(),
     };
@@ -108,13 +109,13 @@
         next_second: now,
     }));
     let port = event_loop::SocketPort(world.clone());
-    let mut control = Control::new((*facts).clone(), seed, now, Box::new(port));
+    let mut control = Control::new(settings.clone(), seed, now, Box::new(port));
     {
         let world = &mut *world.borrow_mut();
         if let Some(known) = told.known.filter(|known| !known.is_empty()) {
             world.listed(known);
         }
-        if facts.text("registry_mode") != "subscribe" {
+        if settings.discovery != DiscoveryMode::Subscribe {
             world.discovery.follow(&mut world.reactor, true);
         }
         slog::info!(log, "serving"; "listen" => %told.listen, "budget" => ?world.reactor.budget);
--- a/edge/src/pool.rs
+++ b/edge/src/pool.rs
@@ -65,7 +65,7 @@
 /// For how long an idle connection is used, if for a limited time: less than the server lets it stand by the time that
 /// one takes to come up, a quarter at most, since the server's end and a command may cross.
 fn stands(reactor: &Reactor) -> Option<Duration> {
-    let idle = reactor.facts.span("limits.idle_close");
+    let idle = reactor.settings.limits.idle_close;
     let ahead = reactor.connect_timeout().min(idle / 4);
     (!idle.is_zero()).then(|| idle - ahead)
 }
@@ -309,7 +309,7 @@
             Reply::Value { value, figures, load: report } => {
                 (outcome, load) = (Outcome::Proxied, report);
                 let cost = resp::pairs(figures).find(|(name, _)| *name == "cost");
-                let most = crate::calls::most_units(&reactor.facts);
+                let most = crate::calls::most_units(&reactor.settings);
                 settled = cost.and_then(|(_, units)| units.parse().ok());
                 settled = settled.filter(|units: &f64| *units > 0.0 && *units <= most);
                 if let Some(open) = calls.get(&job.call).filter(|open| !open.answered) {
--- a/edge/src/reactor.rs
+++ b/edge/src/reactor.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wellcrank::port::*;
+use wellcrank::settings::Settings;
 
 /// Asserted in debug builds, counted in release builds.
 #[macro_export]
@@ -70,6 +71,7 @@
     Counted(CounterName, Counted),
     Listed(bool, Vec<Listed>),
     Woken(WakeToken),
+    Reconfigured(Rc<Settings>),
 }
 
 /// What falls due: a wake of the decisions, the end of an upstream try's time, that of a counter call.
@@ -87,7 +89,9 @@
     pub registry: Registry,
     pub clock: Clock,
     pub now: Duration,
-    pub facts: Rc<Facts>,
+    pub settings: Rc<Settings>,
+    /// How often they have changed since the start.
+    pub settings_generation: u64,
     pub budget: Budget,
     pub notifications: VecDeque<Notification>,
     /// Connections with something to write.
@@ -107,13 +111,14 @@
 }
 
 impl Reactor {
-    pub fn new(registry: Registry, facts: Rc<Facts>, budget: Budget, log: Logger) -> Reactor {
+    pub fn new(registry: Registry, settings: Rc<Settings>, budget: Budget, log: Logger) -> Reactor {
         let clock = Clock::start();
         Reactor {
             now: clock.now(),
             registry,
             clock,
-            facts,
+            settings,
+            settings_generation: 0,
             budget,
             notifications: VecDeque::new(),
             written: Vec::new(),
@@ -163,7 +168,7 @@
     /// How long a connection may take to come up; where the settings do not say, as long as the system waits before it
     /// asks for one again.
     pub fn connect_timeout(&self) -> Duration {
-        let stated = Some(self.facts.span("limits.connect_timeout"));
+        let stated = Some(self.settings.limits.connect_timeout);
         stated.filter(|span| !span.is_zero()).unwrap_or(Duration::from_secs(1))
     }
 
--- a/edge/src/shutdown.rs
+++ b/edge/src/shutdown.rs
@@ -1,9 +1,8 @@
 //! The end of a gateway that was told to stop: until when it may go on as before, and by when everything that it has
 //! taken must be answered, since it is killed then.
 
-use crate::calls::longest_timeout;
 use std::time::Duration;
-use wellcrank::port::Facts;
+use wellcrank::settings::Settings;
 
 /// The platform kills no sooner than the longest client timeout, counted as `LONGEST` where it is longer, and `MORE`
 /// after it told the gateway to stop. `SOONER` is kept for the answers' way out.
@@ -24,10 +23,10 @@
 
 impl GracefulShutdown {
     /// Told to stop at `now`.
-    pub fn new(now: Duration, facts: &Facts) -> GracefulShutdown {
+    pub fn new(now: Duration, settings: &Settings) -> GracefulShutdown {
         GracefulShutdown {
             closes: now + NOTICE,
-            answers: now + longest_timeout(facts).min(LONGEST) + (MORE - SOONER),
+            answers: now + settings.longest_timeout().min(LONGEST) + (MORE - SOONER),
         }
     }
 }
--- a/edge/src/shutdown/tests.rs
+++ b/edge/src/shutdown/tests.rs
@@ -1,29 +1,32 @@
 use super::*;
+use wellcrank::settings::Route;
 
 #[test]
 fn all_is_answered_before_the_platform_kills() {
-    let facts = |spans: &[f64]| {
-        let mut facts = Facts::default();
+    let settings = |spans: &[f64]| {
+        let mut settings = Settings::default();
         for (place, span) in spans.iter().enumerate() {
-            let name = format!("routes.r{place}.client_timeout");
-            facts.0.insert(name, wellcrank::port::Fact::Number(*span));
+            let client_timeout = Duration::from_secs_f64(*span);
+            let route = Route { client_timeout, ..Route::default() };
+            settings.routes.insert(format!("r{place}").as_str().into(), route);
         }
-        facts
+        settings
     };
     let (start, ms) = (Duration::from_secs(9), Duration::from_millis);
-    assert_eq!(GracefulShutdown::new(start, &facts(&[0.6, 0.4])).answers, start + ms(1100));
-    assert_eq!(GracefulShutdown::new(start, &facts(&[0.6, 20.0])).answers, start + ms(3500));
+    assert_eq!(GracefulShutdown::new(start, &settings(&[0.6, 0.4])).answers, start + ms(1100));
+    assert_eq!(GracefulShutdown::new(start, &settings(&[0.6, 20.0])).answers, start + ms(3500));
 }
 
 #[test]
 fn connections_are_ended_once_nobody_connects_any_more_and_before_the_last_answers() {
     for connect in [0.0, 0.05, 0.25, 1.5, 30.0] {
         for timeout in [0.0, 0.1, 0.6, 20.0] {
-            let mut facts = Facts::default();
-            facts.0.insert("limits.connect_timeout".into(), wellcrank::port::Fact::Number(connect));
-            facts.0.insert("routes.r.client_timeout".into(), wellcrank::port::Fact::Number(timeout));
+            let mut settings = Settings::default();
+            settings.limits.connect_timeout = Duration::from_secs_f64(connect);
+            let client_timeout = Duration::from_secs_f64(timeout);
+            settings.routes.insert("r".into(), Route { client_timeout, ..Route::default() });
             let (start, ms) = (Duration::from_secs(9), Duration::from_millis);
-            let shutdown = GracefulShutdown::new(start, &facts);
+            let shutdown = GracefulShutdown::new(start, &settings);
             // Others connect for 0.4 s, and every time limit is 50 ms longer.
             assert!(shutdown.closes >= start + ms(450), "{connect} {timeout}");
             assert!(shutdown.closes < shutdown.answers, "{connect} {timeout}");
--- a/edge/src/world.rs
+++ b/edge/src/world.rs
@@ -12,8 +12,10 @@
 use mio::event::Event;
 use signal_hook::consts::SIGHUP;
 use signal_hook_mio::v1_0::Signals;
+use std::rc::Rc;
 use std::time::Duration;
 use wellcrank::port::*;
+use wellcrank::settings::Settings;
 
 /// A gateway that has no server list, since its configuration holds none and discovery says nothing, is ready so long
 /// after its start all the same: nine in ten restarted ones must be within 10 s. Harm: API calls come to it that others
@@ -56,7 +58,7 @@
                         reread(reactor, &mut self.counter, &mut self.discovery);
                     } else if reactor.shutdown.is_none() {
                         slog::info!(reactor.log, "stopping: still answering"; "open" => calls.len());
-                        reactor.shutdown = Some(GracefulShutdown::new(reactor.now, &reactor.facts));
+                        reactor.shutdown = Some(GracefulShutdown::new(reactor.now, &reactor.settings));
                     }
                 }
             }
@@ -160,7 +162,7 @@
     /// Sends an API call on, if it is still open and has a try and time left.
     pub fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration, whole_by: Duration) {
         let World { reactor, calls, pool, .. } = self;
-        let (now, most) = (reactor.now, reactor.facts.number("limits.max_attempts") as u32);
+        let (now, most) = (reactor.now, reactor.settings.limits.max_attempts);
         let Some(open) = calls.get(call) else { return };
         let number = TryNumber(open.tries);
         open.tries += 1;
@@ -194,10 +196,13 @@
     }
 }
 
-/// SIGHUP: the file is read again and followed where it says that others are; a bad one changes nothing.
+/// SIGHUP: the file is read again. Its settings hold from now on, and it is followed where it says that others are; a
+/// bad one changes nothing.
 fn reread(reactor: &mut Reactor, counter: &mut Counter, discovery: &mut Discovery) {
-    match crate::told() {
-        Ok(told) => {
+    let read = crate::told().and_then(|told| Ok((wellcrank_settings::decode(&told.settings)?, told)));
+    match read {
+        Ok((settings, told)) => {
+            reconfigure(reactor, discovery, settings);
             slog::info!(reactor.log, "file read again"; "discovery" => %told.discovery, "counter" => ?told.counter);
             discovery.move_to(reactor, told.discovery);
             counter.move_to(reactor, told.counter);
@@ -205,3 +210,16 @@
         Err(why) => slog::warn!(reactor.log, "file not read again, the old one stays"; "why" => %why),
     }
 }
+
+/// The settings of the file; where they are as before, nothing changes.
+fn reconfigure(reactor: &mut Reactor, discovery: &mut Discovery, settings: Settings) {
+    if settings == *reactor.settings {
+        return;
+    }
+    reactor.settings = Rc::new(settings);
+    reactor.settings_generation += 1;
+    slog::info!(reactor.log, "settings changed"; "generation" => reactor.settings_generation);
+    discovery.reconfigure(reactor);
+    // In its turn: what has arrived before keeps the terms that it was checked against.
+    reactor.notifications.push_back(Notification::Reconfigured(reactor.settings.clone()));
+}
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -45,6 +45,7 @@
 //! grace                           waits as long as sends may go on after a drain was told, and the rule's slack
 //! logged TEXT                     the node's log holds this
 //! asked 6 changes                 six calls have come to discovery, none of them for the whole list
+//! reread                          the file holds the settings as they are by now, SIGHUP
 //! unreadable                      the file is none any more, SIGHUP
 //! stop; gone                      SIGTERM; the node has ended by itself and well
 //! killed                          SIGKILL, as long after SIGTERM as the platform waits at the least
@@ -686,6 +687,10 @@
                     met.then(|| cut(&mut open))
                 });
             }
+            ["reread"] => {
+                self.write();
+                self.signal("-HUP");
+            }
             ["unreadable"] => {
                 std::fs::write(&self.file, "{").expect("a file for the configuration");
                 self.signal("-HUP");
--- a/fleet/src/recall.rs
+++ b/fleet/src/recall.rs
@@ -52,6 +52,11 @@
         Recall { terms, unheard: 0, refused: 0 }
     }
 
+    /// Other terms from now on; what has failed since the last list stays counted.
+    pub fn change(&mut self, terms: Terms) {
+        self.terms = terms;
+    }
+
     /// Failures since the last list.
     pub fn failures(&self) -> u32 {
         self.unheard.saturating_add(self.refused)
--- a/lab/src/minds.rs
+++ b/lab/src/minds.rs
@@ -97,9 +97,9 @@
     fn hand(&mut self, now: Duration, gateway: usize, news: News) -> Result<(), String> {
         let news = match news {
             News::Start { settings, seed } => {
-                let facts = wellcrank_words::facts(&settings);
+                let settings = wellcrank_settings::decode(&settings).map_err(|error| error.to_string())?;
                 let hands = Hands { gateway, line: self.line.clone() };
-                self.controls.insert(gateway, Control::new(facts, seed, now, Box::new(hands)));
+                self.controls.insert(gateway, Control::new(Rc::new(settings), seed, now, Box::new(hands)));
                 return Ok(());
             }
             News::Killed => {
--- a/drill/src/main.rs
+++ b/simulator/src/main.rs
@@ -158,9 +158,13 @@
     };
     match kind {
         "open_instance" => {
-            let facts = wellcrank_words::facts(fields.need("config", |it| it.is_object().then_some(it))?);
+            let config = fields.need("config", |it| it.is_object().then_some(it))?;
+            let settings = wellcrank_settings::decode(config).map_err(|error| error.to_string())?;
             let port = Reply { instance, out: out.clone() };
-            hosted.insert(instance, Control::new(facts, fields.whole("salt")?, now, Box::new(port)));
+            hosted.insert(
+                instance,
+                Control::new(Rc::new(settings), fields.whole("salt")?, now, Box::new(port)),
+            );
             return Ok(());
         }
         "crash_now" => {
@@ -239,7 +243,7 @@
 
 fn main() {
     if let Err(complaint) = serve() {
-        eprintln!("wellcrank-drill: {complaint}");
+        eprintln!("wellcrank-simulator: {complaint}");
         std::process::exit(1);
     }
 }
--- /dev/null
+++ b/src/control/server_choice.rs
@@ -0,0 +1,138 @@
+//! Which server a try goes to: the part of the servers that is used, cold ones, load and losses.
+
+use super::*;
+
+const SERVER_PRIOR: f64 = 2.0; // tries by which a server's losses lean on the route's
+const ROUTE_PRIOR: f64 = 5.0; // tries by which a route's losses lean on none
+const SUSPECT: (f64, f64) = (2.0, 0.05); // losses over this multiple of the route's, and this share more
+const DRAWS: u32 = 6; // of servers, before the list is looked through
+const COLD_SHARE: f64 = 0.4; // of its budget: permits of two windows may arrive half a window late
+
+impl Control {
+    /// News of the server list: the whole of it, or changes only.
+    pub fn listed(&mut self, whole: bool, lines: Vec<Listed>) {
+        if whole {
+            let told: BTreeSet<&ServerId> = lines.iter().map(|line| &line.server).collect();
+            self.servers.retain(|id, _| told.contains(id));
+        }
+        for listed in lines {
+            let (id, known) = (listed.server.clone(), self.servers.remove(&listed.server));
+            let server = match known {
+                _ if listed.phase == Phase::Gone => continue,
+                Some(known) if known.listed.started == listed.started => Server { listed, ..known },
+                known => {
+                    let salt = subset::place(&id.0) ^ listed.started.map_or(0, |at| at.as_millis() as u64);
+                    let ramp = Ramp::new(self.settings.index, salt, self.now);
+                    Server::fresh(listed, known.map_or(0, |known| known.open), ramp)
+                }
+            };
+            self.servers.insert(id, server);
+        }
+        self.ids = self.servers.keys().cloned().collect();
+        self.ids.sort_by_cached_key(|id| subset::place(&id.0));
+        self.choose();
+    }
+
+    /// The servers that this gateway uses: all that it can keep connections to warm and learn of, or a part.
+    /// Harm: what befalls many servers of one gateway's part befalls it more; the others are then drawn too.
+    pub(super) fn choose(&mut self) {
+        let (idle, open) = (self.settings.limits.idle_close.as_secs_f64(), self.fleet.open);
+        let each = (self.fleet.room / self.own.len().max(1) as f64).min(ROOM);
+        let width = subset::Width { tries: self.fleet.pace, idle, open, each }.of(self.ids.len());
+        let width = if idle > 0.0 { width } else { self.ids.len() };
+        let (index, all) = (self.settings.index, self.gateways() as u32);
+        let window = subset::window(self.ids.len(), index, all, width);
+        self.own = window.map(|place| self.ids[place].clone()).collect();
+        let warm = self.own.iter().filter(|id| self.warmth(&self.servers[*id]) >= 1.0).count();
+        self.fleet.warm = warm as f64;
+    }
+
+    /// A call for the server list failed or the subscription broke: it is asked for again.
+    pub fn list_failed(&mut self) {
+        self.at(self.now + ms(500), Box::new(|c, ()| c.port.subscribe(true)));
+    }
+
+    /// How much of its full work a server can do by now, by its age.
+    pub(super) fn warmth(&self, server: &Server) -> f64 {
+        let Some(start) = server.listed.started else { return 1.0 };
+        let (from, span) = (self.settings.rules.cold_from, self.settings.rules.cold.as_secs_f64().max(1e-9));
+        (from + (1.0 - from) * self.now.saturating_sub(start).as_secs_f64() / span).min(1.0)
+    }
+
+    /// This gateway's share of what a cold server may be sent by all; none for a warm one, or without such a
+    /// rule. A warm one bears what warm ones were seen to do, and one API call after another of the usual
+    /// length at the least. Harm: before it has seen any, a gateway sends cold servers next to nothing.
+    pub(super) fn share(&self, server: &Server) -> Option<Share> {
+        let (warmth, over) = (self.warmth(server), self.settings.rules.overload_for);
+        let multiple = self.settings.rules.fall_multiple;
+        let users = self.gateways() * self.own.len() as f64 / self.ids.len().max(1) as f64;
+        let usual = self.usual.values().sum::<f64>() / self.usual.len() as f64;
+        let seen = self.fleet.done.0 / self.fleet.warm.max(1.0) * users;
+        let bears = seen.max(1.0 / if usual > 0.0 { usual } else { 1.0 });
+        let share = || Share::of(bears * warmth * multiple * COLD_SHARE, users, over);
+        (warmth < 1.0 && multiple > 0.0 && !over.is_zero()).then(share)
+    }
+
+    /// Room for one more: the gateway's own limit, and for a cold server its share of the rule's budget.
+    pub(super) fn has_room(&self, server: &Server) -> bool {
+        let fair = self.fleet.room / self.own.len().max(1) as f64 * self.warmth(server);
+        let permitted = self.share(server).is_none_or(|share| server.ramp.permits_one(self.now, share));
+        permitted && f64::from(server.open) < fair.max(1.0)
+    }
+
+    /// The share of a route's tries that is lost anywhere.
+    pub(super) fn route_loss(&self, route: &RouteName) -> f64 {
+        self.losses.get(route).map_or(0.0, |known| known.estimate(self.now, 0.0, ROUTE_PRIOR))
+    }
+
+    /// The share of the route's tries that this server is likely to lose. It is kept by route, as a server
+    /// may leave one unanswered and serve the others, and leans on what the route loses anywhere: where many
+    /// servers are struck, one that is not known yet is less trusted than one that answers.
+    pub(super) fn loss(&self, server: &Server, route: &RouteName, anywhere: f64) -> f64 {
+        let known = server.losses.get(route);
+        known.map_or(anywhere, |known| known.estimate(self.now, anywhere, SERVER_PRIOR))
+    }
+
+    /// Load against ability; a loss costs all that a queue can cost and more.
+    pub(super) fn cost(&self, server: &Server, loss: f64) -> f64 {
+        let able = server.listed.weight.max(0.1) * self.warmth(server);
+        let kind = self.kinds.get(&server.listed.kind).copied().unwrap_or(1.0);
+        let load = (f64::from(server.open) + 1.0) * kind * server.pace / able;
+        load / (1.0 - loss.min(0.95)).powi(3)
+    }
+
+    /// Draws two servers that are able, looking through the whole list only where a few draws find fewer, and
+    /// takes the one the node's own counts favour. With nothing open at both, as in a gateway of many, they
+    /// say little: it goes by chance, in proportion, else all gateways crowd what looks a little better.
+    pub(super) fn draw(
+        &self,
+        rng: &mut WyRand,
+        able: &dyn Fn(&Server) -> bool,
+        last: Option<&ServerId>,
+        route: &RouteName,
+    ) -> Option<ServerId> {
+        let (some, fits) =
+            (!self.own.is_empty(), |id: &&ServerId| Some(*id) != last && able(&self.servers[*id]));
+        let drawn = (0..DRAWS).filter(|_| some).map(|_| &self.own[rng.generate_range(0..self.own.len())]);
+        let mut found: Vec<&ServerId> = drawn.filter(fits).collect();
+        found.dedup();
+        if found.len() < 2 {
+            found = self.own.iter().filter(fits).collect();
+            // Cold servers are shared out among those whose part they are.
+            let others = |id: &&ServerId| self.warmth(&self.servers[*id]) >= 1.0 && fits(id);
+            found = if found.is_empty() { self.ids.iter().filter(others).collect() } else { found };
+            rng.shuffle(&mut found);
+        }
+        let anywhere = self.route_loss(route);
+        let loss = |id: &ServerId| self.loss(&self.servers[id], route, anywhere);
+        found.sort_by_key(|id| loss(id) > anywhere * SUSPECT.0 + SUSPECT.1);
+        found.truncate(2);
+        let again = || last.filter(|id| self.servers.get(*id).is_some_and(able));
+        let [one, two] = found[..] else { return found.pop().or_else(again).cloned() };
+        let cost = |id: &ServerId| self.cost(&self.servers[id], loss(id));
+        let (first, second) = (cost(one), cost(two));
+        let alike = self.servers[one].open + self.servers[two].open == 0;
+        let chance = if alike { rng.generate::<f64>() } else { 0.5 };
+        Some(if first * chance <= second * (1.0 - chance) { one } else { two }.clone())
+    }
+}
--- a/src/port.rs
+++ b/src/port.rs
@@ -1,9 +1,8 @@
-//! The interface between the decisions and whatever carries them: the edge node on sockets, the drill on the
+//! The interface between the decisions and whatever carries them: the edge node on sockets, the adapter to the
 //! simulator's wire, later an external processor, external authorisation or plan-and-apply files.
 //! A carrier turns its protocol's events into calls on [`crate::control::Control`] and implements [`Port`].
 //! All times are spans since the start of the carrier's clock.
 
-use rustc_hash::FxHashMap;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,91 +37,12 @@
 pub const TICK_TOKEN: WakeToken = WakeToken(1);
 pub const DUE_TOKEN: WakeToken = WakeToken(2);
 
-/// Settings: names to values. Nested names are joined by dots; a list's element goes by its own name where it
-/// has one and by its place otherwise (`plans.basic.rate`, `zones.0`). Spans are in seconds. What is missing
-/// reads as nothing: 0, "", false.
-#[derive(Clone, Default, Debug)]
-pub struct Facts(pub FxHashMap<String, Fact>);
-
-impl Facts {
-    pub fn number(&self, name: &str) -> f64 {
-        number(self.0.get(name))
-    }
-
-    pub fn plan(&self, plan: &PlanName, what: &str) -> f64 {
-        number(self.of("plans", &plan.0, what))
-    }
-
-    pub fn route(&self, route: &RouteName, what: &str) -> f64 {
-        number(self.of("routes", &route.0, what))
-    }
-
-    pub fn route_span(&self, route: &RouteName, what: &str) -> Duration {
-        seconds(self.route(route, what))
-    }
-
-    pub fn said(&self, route: &RouteName, what: &str) -> &str {
-        text(self.of("routes", &route.0, what))
-    }
-
-    /// Whether the settings name such a plan.
-    pub fn has_plan(&self, plan: &PlanName) -> bool {
-        self.of("plans", &plan.0, "name").is_some()
-    }
-
-    /// Asked dozens of times an API call, so the joined name is put together without allocating.
-    fn of(&self, list: &str, item: &str, what: &str) -> Option<&Fact> {
-        let (mut name, mut end) = ([0; 128], 0);
-        for part in [list, ".", item, ".", what] {
-            let Some(room) = name.get_mut(end..end + part.len()) else {
-                return self.0.get(&format!("{list}.{item}.{what}"));
-            };
-            room.copy_from_slice(part.as_bytes());
-            end += part.len();
-        }
-        self.0.get(std::str::from_utf8(&name[..end]).ok()?)
-    }
-
-    pub fn span(&self, name: &str) -> Duration {
-        seconds(self.number(name))
-    }
-
-    pub fn text(&self, name: &str) -> &str {
-        text(self.0.get(name))
-    }
-
-    pub fn flag(&self, name: &str) -> bool {
-        matches!(self.0.get(name), Some(Fact::Flag(true)))
-    }
-}
-
 /// A span of so many seconds. What is below nothing or no number is nothing, and a span ends within thirty years, so that
 /// sums of them stay sound whatever was stated.
 pub fn seconds(number: f64) -> Duration {
     Duration::from_secs_f64(number.clamp(0.0, 1e9).max(0.0))
 }
 
-fn number(fact: Option<&Fact>) -> f64 {
-    match fact {
-        Some(Fact::Number(number)) => *number,
-        _ => 0.0,
-    }
-}
-
-fn text(fact: Option<&Fact>) -> &str {
-    match fact {
-        Some(Fact::Text(text)) => text,
-        _ => "",
-    }
-}
-
-#[derive(Clone, PartialEq, Debug)]
-pub enum Fact {
-    Number(f64),
-    Text(String),
-    Flag(bool),
-}
-
 /// How an upstream try or a probe ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Outcome {
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 
 use crate::control::Control;
 use crate::port::*;
+use crate::settings::Route;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wellcrank_fleet::ramp::Ramp;
@@ -16,6 +17,8 @@
 
 pub struct Call {
     pub arrival: Arrival,
+    /// The route's terms as they were when it came.
+    pub route: Route,
     pub born: Duration,
     pub tries: u32,
     /// Sent without the counter's word.
@@ -37,8 +40,8 @@
 }
 
 impl Call {
-    pub fn new(arrival: Arrival, born: Duration, unsure: bool) -> Self {
-        Call { arrival, born, tries: 0, unsure, out: None, last: None, ran: None, taken: false }
+    pub fn new(arrival: Arrival, route: Route, born: Duration, unsure: bool) -> Self {
+        Call { arrival, route, born, tries: 0, unsure, out: None, last: None, ran: None, taken: false }
     }
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -3,6 +3,7 @@
 //! ```text
 //! use common                      settings from common.set, one "name value" a line
 //! set plans.p.cap 2               one more setting
+//! reconfigure                     the settings as they are by now hold from here on
 //! at 0.5                          moves the clock, waking the gateway on the way; starts it the first time
 //! list a b/7 c@0.4 d! e~k          the server list: a server, one of cell 7, one started at 0.4, one draining, one of
 //!                                 machine kind k
@@ -20,6 +21,8 @@
 //!
 //! A label is bound to a counter name where it is first seen; `send r1 *` takes any server.
 
+#[path = "plays/named_settings.rs"]
+mod named_settings;
 mod plays;
 
 use std::cell::RefCell;
@@ -28,6 +31,7 @@
 use std::time::Duration;
 use wellcrank::control::Control;
 use wellcrank::port::*;
+use wellcrank::settings::Settings;
 
 #[derive(Default)]
 struct Seen {
@@ -82,7 +86,7 @@
 
 #[derive(Default)]
 struct Stage {
-    facts: Facts,
+    settings: Settings,
     seen: Recorder,
     control: Option<Control>,
     now: Duration,
@@ -117,19 +121,10 @@
 }
 
 impl Stage {
-    fn set(&mut self, name: &str, value: &str) {
-        let fact = match (value.parse(), value) {
-            (Ok(number), _) => Fact::Number(number),
-            (_, "true" | "false") => Fact::Flag(value == "true"),
-            _ => Fact::Text(value.to_string()),
-        };
-        self.facts.0.insert(name.to_string(), fact);
-    }
-
     fn go_to(&mut self, at: Duration) {
-        let control = self
-            .control
-            .get_or_insert_with(|| Control::new(self.facts.clone(), 7, at, Box::new(self.seen.clone())));
+        let control = self.control.get_or_insert_with(|| {
+            Control::new(Rc::new(self.settings.clone()), 7, at, Box::new(self.seen.clone()))
+        });
         loop {
             let next = self.seen.0.borrow().wakes.iter().filter(|wake| wake.0 <= at).min().copied();
             let Some(wake) = next else { break };
@@ -177,11 +172,16 @@
                 let text = std::fs::read_to_string(path).expect("a settings file");
                 for line in text.lines().filter(|line| !line.is_empty()) {
                     let (name, value) = line.split_once(' ').expect("a name and a value");
-                    self.set(name, value.trim());
+                    named_settings::set(&mut self.settings, name, value.trim());
                 }
                 return;
             }
-            ["set", name, value] => return self.set(name, value),
+            ["set", name, value] => return named_settings::set(&mut self.settings, name, value),
+            ["reconfigure"] => {
+                let settings = self.settings.clone();
+                let control = self.control.as_mut().expect("'at' comes first");
+                return control.reconfigure(Rc::new(settings));
+            }
             ["asleep"] => {
                 let woken = self.seen.0.borrow().wakes.iter().any(|wake| wake.1 == DUE_TOKEN.0);
                 return assert!(!woken, "a wake is set");
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,6 +2,9 @@
 //! under any: it does not fall over, each API call gets one final answer in time and nothing is sent for it afterwards,
 //! never two tries are out, and what may have run is repeated or refused only as its route permits.
 
+#[path = "plays/named_settings.rs"]
+mod named_settings;
+
 use nanorand::{Rng, WyRand};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -9,6 +12,7 @@
 use std::time::Duration;
 use wellcrank::control::Control;
 use wellcrank::port::*;
+use wellcrank::settings::*;
 
 #[derive(Clone)]
 struct Open {
@@ -24,7 +28,7 @@
 #[derive(Default)]
 struct Seen {
     now: Duration,
-    facts: Facts,
+    settings: Settings,
     wakes: Vec<(Duration, u64)>,
     counts: Vec<CounterName>,
     open: BTreeMap<CallId, Open>,
@@ -37,8 +41,8 @@
 struct Referee(Rc<RefCell<Seen>>);
 
 impl Seen {
-    fn effect(&self, open: &Open) -> String {
-        self.facts.said(&open.route, "repeat").to_string()
+    fn effect(&self, open: &Open) -> Repeat {
+        self.settings.route(&open.route).repeat
     }
 
     /// The final answer.
@@ -46,11 +50,11 @@
         let open = self.open.remove(call).expect("one answer, to an open API call");
         assert!(self.now <= open.until, "answered in time");
         let may_have_run = open.ran.is_some() || open.out.is_some();
-        let all = self.facts.said(&open.route, "group") == "all";
-        let permitted = match self.effect(&open).as_str() {
-            "idempotent" => true,
-            "tokened" => !may_have_run || all,
-            _ => !may_have_run,
+        let all = self.settings.route(&open.route).group == Group::All;
+        let permitted = match self.effect(&open) {
+            Repeat::Idempotent => true,
+            Repeat::Tokened => !may_have_run || all,
+            Repeat::NonIdempotent => !may_have_run,
         };
         assert!(permitted || !harmless, "told that it is harmless to come again");
     }
@@ -65,17 +69,17 @@
         let (ready, cell) = *seen.servers.get(server).expect("a server of the list");
         assert!(ready, "a server that drains gets nothing new");
         assert!(now + timeout <= open.until && whole_by > now, "there is time left");
-        let memory = seen.facts.route(&open.route, "memory_span").clamp(0.0, 1e9);
+        let memory = seen.settings.route(&open.route).memory_span;
         if let Some((at, first)) = open.ran {
-            let lapses = at + Duration::from_secs_f64(memory);
-            match seen.effect(&open).as_str() {
-                "idempotent" => (),
-                "tokened" => {
+            let lapses = at + memory;
+            match seen.effect(&open) {
+                Repeat::Idempotent => (),
+                Repeat::Tokened => {
                     assert!(now < lapses && whole_by <= lapses, "a repeat that is remembered");
-                    let all = seen.facts.said(&open.route, "group") == "all";
+                    let all = seen.settings.route(&open.route).group == Group::All;
                     assert!(all || first == cell, "a repeat where it is remembered");
                 }
-                _ => panic!("what must not run twice is sent again"),
+                Repeat::NonIdempotent => panic!("what must not run twice is sent again"),
             }
         }
         let open = seen.open.get_mut(call).expect("looked up above");
@@ -84,7 +88,7 @@
         seen.out.push((call.clone(), open.out.expect("just set")));
     }
     fn cancel(&mut self, _: &CallId, _: TryNumber) {
-        assert!(self.0.borrow().facts.flag("limits.cancelling"));
+        assert!(self.0.borrow().settings.limits.cancelling);
     }
     fn rate_limit(&mut self, call: &CallId, retry_after: Duration) {
         assert!(retry_after <= Duration::from_secs(30));
@@ -121,11 +125,11 @@
     }
 }
 
-fn settings(rng: &mut WyRand) -> Facts {
-    let mut facts = Facts::default();
+fn settings(rng: &mut WyRand) -> Settings {
+    let mut settings = Settings::default();
     let mut put = |rng: &mut WyRand, name: String, usual: f64| {
         if let Some(figure) = figure(rng, usual) {
-            facts.0.insert(name, Fact::Number(figure));
+            named_settings::set(&mut settings, &name, &figure.to_string());
         }
     };
     for (name, usual) in [
@@ -171,13 +175,14 @@
     for route in ROUTES {
         let repeat = ["idempotent", "tokened", "non-idempotent", "other"][rng.generate_range(0..4usize)];
         let group = ["all", "cell", "zone", ""][rng.generate_range(0..4usize)];
-        facts.0.insert(format!("routes.{route}.repeat"), Fact::Text(repeat.into()));
-        facts.0.insert(format!("routes.{route}.group"), Fact::Text(group.into()));
+        named_settings::set(&mut settings, &format!("routes.{route}.repeat"), repeat);
+        named_settings::set(&mut settings, &format!("routes.{route}.group"), group);
     }
     for flag in ["counter.present", "limits.cancelling"] {
-        facts.0.insert(flag.to_string(), Fact::Flag(rng.generate_range(0..4u32) > 0));
+        let on = rng.generate_range(0..4u32) > 0;
+        named_settings::set(&mut settings, flag, &on.to_string());
     }
-    facts
+    settings
 }
 
 struct Day {
@@ -190,10 +195,10 @@
 impl Day {
     fn new(seed: u64) -> Day {
         let mut rng = WyRand::new_seed(seed);
-        let facts = settings(&mut rng);
+        let settings = settings(&mut rng);
         let (seen, start) = (Referee::default(), Duration::from_secs(1_700_000_000));
-        (seen.0.borrow_mut().now, seen.0.borrow_mut().facts) = (start, facts.clone());
-        let control = Control::new(facts, seed, start, Box::new(seen.clone()));
+        (seen.0.borrow_mut().now, seen.0.borrow_mut().settings) = (start, settings.clone());
+        let control = Control::new(Rc::new(settings), seed, start, Box::new(seen.clone()));
         Day { seen, control, rng, calls: 0 }
     }
 
