Servers drawn are ranked by steps of their losses; calm below a fifth of the rate passes

Checks: draws of six hold none that is known to answer only now and then; the two compared are the first two that are not suspect, so servers not known yet are taken as often as known good ones. Line at fault: the sort in `draw`, which knew suspects and others only.

A customer that comes through 5 to 16 gateways looks calm at most of them. Line at fault: CALM 0.5 in holds.rs: half the rate, while a customer's use is skewed over its gateways.

--- a/src/control/holds.rs
+++ b/src/control/holds.rs
@@ -4,7 +4,7 @@
 
 const PERIOD: Duration = ms(3000); // hold lifetime: the period of a holds' name
 const RENEW_AHEAD: Duration = ms(100); // so long before the period's edge the holds are renewed
-pub(super) const CALM: f64 = 0.5; // who asks for less than this share of its rate has left its store alone
+pub(super) const CALM: f64 = 0.2; // who asks for less than this share of its rate has left its store alone
 const NO_HOLD: u64 = 0; // stands for the hold of a try whose plan has no cap; ids of holds are above
 
 impl Control {
--- a/src/control/server_choice.rs
+++ b/src/control/server_choice.rs
@@ -4,8 +4,9 @@
 
 const SERVER_PRIOR: f64 = 2.0; // tries by which a server's losses lean on the route's
 const ROUTE_PRIOR: f64 = 5.0; // tries by which a route's losses lean on none
-const SUSPECT: (f64, f64) = (2.0, 0.05); // losses over this multiple of the route's, and this share more
-const DRAWS: u32 = 6; // of servers, before the list is looked through
+const LOSS_STEPS: f64 = 2.0; // in which servers drawn are ranked, to the route's losses
+const LEAST_LOSS: f64 = 0.05; // so much more than the route loses is no reason to rank
+const DRAWS: u32 = 12; // of servers, before the list is looked through
 const COLD_SHARE: f64 = 0.4; // of its budget: permits of two windows may arrive half a window late
 
 impl Control {
@@ -125,7 +126,7 @@
         }
         let anywhere = self.route_loss(route);
         let loss = |id: &ServerId| self.loss(&self.servers[id], route, anywhere);
-        found.sort_by_key(|id| loss(id) > anywhere * SUSPECT.0 + SUSPECT.1);
+        found.sort_by_key(|id| (loss(id) / (anywhere + LEAST_LOSS) * LOSS_STEPS) as u32);
         found.truncate(2);
         let again = || last.filter(|id| self.servers.get(*id).is_some_and(able));
         let [one, two] = found[..] else { return found.pop().or_else(again).cloned() };
