A store goes on under new settings, though its windows have another length

A customer's windows are burst over rate long. After a switch of either their numbers no longer follow on each other, so a store counted as not followed and was taken to be full: a burst more at every switch, each way.

--- a/src/control/quota.rs
+++ b/src/control/quota.rs
@@ -58,14 +58,8 @@
         let hard = self.settings.plan(plan).ceiling_rate > 0.0;
         let account = self.accounts.entry(customer.clone()).or_default();
         let known = account.window > 0;
-        if account.window != window {
-            // A store followed through the last window goes on; one that was not is taken to be full, or
-            // empty under a hard ceiling.
-            if account.window + 1 != window {
-                (account.store, account.seen) = (if hard { 0.0 } else { burst }, self.now);
-            }
-            (account.window, account.total) = (window, 0.0);
-        }
+        // A store that was not followed is taken to be full, or empty under a hard ceiling.
+        account.enter_window(window, length, if hard { 0.0 } else { burst }, self.now);
         let (split, recent) = (burst / account.spread, account.demand * length.as_secs_f64());
         let usual = if known { split.min(recent) } else { split };
         let wanted = if plenty { usual } else { recent * AHEAD };
--- a/src/state.rs
+++ b/src/state.rs
@@ -172,6 +172,7 @@
     /// The customer's store as the totals show it: its units, the window and total last seen, and when.
     pub store: f64,
     pub window: u64,
+    pub length: Duration,
     pub total: f64,
     pub seen: Duration,
     /// Recent demand in units a second, and when it was last moved.
@@ -186,6 +187,19 @@
 }
 
 impl Account {
+    /// Enters the window of that number and length. A store that was followed through the last one goes on, also where
+    /// new settings have changed the length; one that was not is taken to hold `unfollowed`.
+    pub fn enter_window(&mut self, window: u64, length: Duration, unfollowed: f64, now: Duration) {
+        if self.window == window && self.length == length {
+            return;
+        }
+        let changed = self.length != length && now < self.seen + self.length;
+        if self.window + 1 != window && !(changed && self.window > 0) {
+            (self.store, self.seen) = (unfollowed, now);
+        }
+        (self.window, self.length, self.total) = (window, length, 0.0);
+    }
+
     /// The store refills at the rate, and gives what the total shows taken since the last look.
     pub fn follow(&mut self, total: f64, now: Duration, rate: f64, burst: f64) {
         let refill = now.saturating_sub(self.seen).as_secs_f64() * rate;
