--- a/edge/src/event_loop.rs
+++ b/edge/src/event_loop.rs
@@ -1,8 +1,8 @@
 //! The loop: one poll a turn. What comes in is put in line for the decisions; what they ask for is done at once, and
 //! written when the turn ends.
 
+use crate::gateway::Gateway;
 use crate::reactor::{Due, Notification};
-use crate::world::World;
 use mio::{Events, Poll};
 use std::cell::RefCell;
 use std::io;
@@ -12,48 +12,48 @@
 use wellcrank::port::*;
 
 /// Runs until the gateway has been told to stop and nobody is left to answer.
-pub fn run(poll: &mut Poll, world: &Rc<RefCell<World>>, control: &mut Control) -> io::Result<()> {
+pub fn run(poll: &mut Poll, gateway: &Rc<RefCell<Gateway>>, control: &mut Control) -> io::Result<()> {
     let mut events = Events::with_capacity(1024);
     loop {
         let wait = {
-            let world = &mut *world.borrow_mut();
-            if world.finished() {
+            let gateway = &mut *gateway.borrow_mut();
+            if gateway.finished() {
                 return Ok(());
             }
-            world.reactor.next_wait()
+            gateway.reactor.next_wait()
         };
         match poll.poll(&mut events, wait) {
             Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
             _ => (),
         }
         {
-            let world = &mut *world.borrow_mut();
-            world.reactor.now = world.reactor.clock.now();
+            let gateway = &mut *gateway.borrow_mut();
+            gateway.reactor.now = gateway.reactor.clock.now();
             for event in &events {
-                world.reactor.ending = event.is_read_closed() || event.is_error();
-                world.ready(event);
+                gateway.reactor.ending = event.is_read_closed() || event.is_error();
+                gateway.ready(event);
             }
-            world.reactor.ending = false;
-            while let Some(due) = world.reactor.next_due() {
-                world.due(due);
+            gateway.reactor.ending = false;
+            while let Some(due) = gateway.reactor.next_due() {
+                gateway.due(due);
             }
         }
         loop {
-            hand_over(world, control);
-            let world = &mut *world.borrow_mut();
-            if world.reactor.written.is_empty() && !world.resume() {
+            hand_over(gateway, control);
+            let gateway = &mut *gateway.borrow_mut();
+            if gateway.reactor.written.is_empty() && !gateway.resume() {
                 break;
             }
-            world.flush();
+            gateway.flush();
         }
     }
 }
 
 /// SocketPort the decisions what has come, one by one, each at its time.
-fn hand_over(world: &Rc<RefCell<World>>, control: &mut Control) {
+fn hand_over(gateway: &Rc<RefCell<Gateway>>, control: &mut Control) {
     loop {
         let (news, now) = {
-            let reactor = &mut world.borrow_mut().reactor;
+            let reactor = &mut gateway.borrow_mut().reactor;
             let Some(news) = reactor.notifications.pop_front() else { return };
             reactor.now = reactor.clock.now();
             (news, reactor.now)
@@ -62,23 +62,23 @@
         match news {
             // Its client may have left in the same turn: nothing is begun for it.
             Notification::Arrived(arrival) => {
-                world.borrow_mut().reactor.tally.calls += 1;
-                if world.borrow().calls.is_open(&arrival.call) {
+                gateway.borrow_mut().reactor.tally.calls += 1;
+                if gateway.borrow().calls.is_open(&arrival.call) {
                     control.arrived(arrival);
                 }
             }
             Notification::Gone(call) => {
-                world.borrow_mut().left(&call);
+                gateway.borrow_mut().left(&call);
                 control.gone(&call);
             }
             Notification::Expired(call) => control.expired(&call),
             Notification::Ended(call, number, mut end) => {
-                world.borrow_mut().reactor.tally.ended(end.outcome);
-                end.closed |= !world.borrow().calls.is_open(&call);
+                gateway.borrow_mut().reactor.tally.ended(end.outcome);
+                end.closed |= !gateway.borrow().calls.is_open(&call);
                 let closed = end.closed;
                 control.ended(&call, number, end);
                 if closed {
-                    world.borrow_mut().forget(&call);
+                    gateway.borrow_mut().forget(&call);
                 }
             }
             Notification::Counted(name, counted) => control.counted(name, counted),
@@ -90,32 +90,32 @@
 }
 
 /// What the decisions ask for, done on the sockets.
-pub struct SocketPort(pub Rc<RefCell<World>>);
+pub struct SocketPort(pub Rc<RefCell<Gateway>>);
 
 impl Port for SocketPort {
     fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration, whole_by: Duration) {
         self.0.borrow_mut().send(call, server, timeout, whole_by);
     }
     fn cancel(&mut self, call: &CallId, number: TryNumber) {
-        let World { reactor, pool, .. } = &mut *self.0.borrow_mut();
+        let Gateway { reactor, pool, .. } = &mut *self.0.borrow_mut();
         pool.cancel(reactor, call, number);
     }
     fn rate_limit(&mut self, call: &CallId, retry_after: Duration) {
-        let world = &mut *self.0.borrow_mut();
-        let advised = world.reactor.settings.limits.retry_after;
-        world.reactor.tally.limited += 1;
-        world.answer(call, |out| {
+        let gateway = &mut *self.0.borrow_mut();
+        let advised = gateway.reactor.settings.limits.retry_after;
+        gateway.reactor.tally.limited += 1;
+        gateway.answer(call, |out| {
             let advice = format!("-BUSY {}\r\n", retry_after.as_millis());
             out.extend_from_slice(if advised { advice.as_bytes() } else { b"-BUSY\r\n" });
         });
     }
     fn error(&mut self, call: &CallId) {
-        let world = &mut *self.0.borrow_mut();
-        world.reactor.tally.errored += 1;
-        world.answer(call, |out| out.extend_from_slice(b"-ERR failed\r\n"));
+        let gateway = &mut *self.0.borrow_mut();
+        gateway.reactor.tally.errored += 1;
+        gateway.answer(call, |out| out.extend_from_slice(b"-ERR failed\r\n"));
     }
     fn count(&mut self, name: CounterName, add: f64, keep: Duration) {
-        let World { reactor, counter, .. } = &mut *self.0.borrow_mut();
+        let Gateway { reactor, counter, .. } = &mut *self.0.borrow_mut();
         counter.count(reactor, name, add, keep);
     }
     fn wake(&mut self, token: WakeToken, at: Duration) {
@@ -124,15 +124,15 @@
     /// The decisions send no probes, and would not be told of an answer.
     fn probe(&mut self, _: &ServerId) {}
     fn subscribe(&mut self, on: bool) {
-        let World { reactor, discovery, .. } = &mut *self.0.borrow_mut();
+        let Gateway { reactor, discovery, .. } = &mut *self.0.borrow_mut();
         discovery.follow(reactor, on);
     }
     fn refetch(&mut self) {
-        let World { reactor, discovery, .. } = &mut *self.0.borrow_mut();
+        let Gateway { reactor, discovery, .. } = &mut *self.0.borrow_mut();
         discovery.refetch(reactor);
     }
     fn release(&mut self, server: &ServerId) {
-        let World { reactor, pool, .. } = &mut *self.0.borrow_mut();
+        let Gateway { reactor, pool, .. } = &mut *self.0.borrow_mut();
         pool.release(reactor, server);
     }
     fn tell(&mut self, peer: Option<u32>, body: &[u8]) {
--- a/edge/src/world.rs
+++ b/edge/src/gateway.rs
@@ -22,7 +22,7 @@
 /// could serve; it refuses them at once, with advice.
 const READY: Duration = Duration::from_secs(8);
 
-pub struct World {
+pub struct Gateway {
     pub reactor: Reactor,
     pub calls: Calls,
     pub clients: Clients,
@@ -37,9 +37,9 @@
     pub next_second: Duration,
 }
 
-impl World {
+impl Gateway {
     pub fn ready(&mut self, event: &Event) {
-        let World { reactor, calls, clients, pool, .. } = self;
+        let Gateway { reactor, calls, clients, pool, .. } = self;
         match Side::of(event.token()) {
             (Side::Listener, _) => clients.accept(reactor, calls),
             (Side::Client, key) => clients.ready(reactor, key, calls),
@@ -102,7 +102,7 @@
 
     /// What is done now and then; hangs on the decisions' one periodic timer.
     fn sweep(&mut self) {
-        let World { reactor, calls, clients, pool, .. } = self;
+        let Gateway { reactor, calls, clients, pool, .. } = self;
         if reactor.last_answers() {
             clients.last_answers(reactor, calls);
             reactor.notifications.extend(calls.unanswered().map(Notification::Expired));
@@ -144,7 +144,7 @@
 
     /// Writes what the turn has collected, once a connection.
     pub fn flush(&mut self) {
-        let World { reactor, calls, clients, pool, .. } = self;
+        let Gateway { reactor, calls, clients, pool, .. } = self;
         for token in std::mem::take(&mut reactor.written) {
             match Side::of(token) {
                 (Side::Client, key) => clients.flush(reactor, key, calls),
@@ -161,7 +161,7 @@
 
     /// Sends an API call on, if it is still open and has a try and time left.
     pub fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration, whole_by: Duration) {
-        let World { reactor, calls, pool, .. } = self;
+        let Gateway { reactor, calls, pool, .. } = self;
         let (now, most) = (reactor.now, reactor.settings.limits.max_attempts);
         let Some(open) = calls.get(call) else { return };
         let number = TryNumber(open.tries);
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod counter;
 mod discovery;
 mod event_loop;
+mod gateway;
 mod lingering;
 mod peers;
 mod pool;
@@ -16,7 +17,6 @@
 mod shutdown;
 mod stream;
 mod tally;
-mod world;
 
 use mio::{Interest, Poll};
 use serde::Deserialize;
@@ -95,7 +95,7 @@
     let known = told.known.as_ref().filter(|known| !known.is_empty()).map(discovery::ListUpdate::rev);
     let now = reactor.now;
     let discovery = discovery::Discovery::new(told.discovery, known, seed ^ 0x5eed_d15c, &reactor);
-    let world = Rc::new(RefCell::new(world::World {
+    let gateway = Rc::new(RefCell::new(gateway::Gateway {
         reactor,
         calls: calls::Calls::default(),
         clients,
@@ -108,19 +108,19 @@
         seconds: 0,
         next_second: now,
     }));
-    let port = event_loop::SocketPort(world.clone());
+    let port = event_loop::SocketPort(gateway.clone());
     let mut control = Control::new(settings.clone(), seed, now, Box::new(port));
     {
-        let world = &mut *world.borrow_mut();
+        let gateway = &mut *gateway.borrow_mut();
         if let Some(known) = told.known.filter(|known| !known.is_empty()) {
-            world.listed(known);
+            gateway.listed(known);
         }
         if settings.discovery != DiscoveryMode::Subscribe {
-            world.discovery.follow(&mut world.reactor, true);
+            gateway.discovery.follow(&mut gateway.reactor, true);
         }
-        slog::info!(log, "serving"; "listen" => %told.listen, "budget" => ?world.reactor.budget);
+        slog::info!(log, "serving"; "listen" => %told.listen, "budget" => ?gateway.reactor.budget);
     }
-    event_loop::run(&mut poll, &world, &mut control)?;
+    event_loop::run(&mut poll, &gateway, &mut control)?;
     slog::info!(log, "stopped: nobody left to answer");
     Ok(())
 }
--- a/lab/src/minds.rs
+++ b/lab/src/decision_engine.rs
@@ -1,5 +1,5 @@
 //! What decides at the gateways of a simulated day: the decisions themselves, in this process, or those of
-//! another build, asked over the drill's wire. Either is handed what happened and says what it does.
+//! another build, asked over the simulator's wire. Either is handed what happened and says what it does.
 
 use serde_json::{json, Value};
 use std::cell::RefCell;
@@ -12,7 +12,7 @@
 use wellcrank::port::*;
 
 /// Something that happened at a gateway.
-pub enum News {
+pub enum GatewayEvent {
     Start { settings: Value, seed: u64 },
     Killed,
     Listed(bool, Vec<Listed>),
@@ -25,7 +25,7 @@
 
 /// Something that a gateway does.
 #[derive(Clone, Debug)]
-pub enum Deed {
+pub enum GatewayAction {
     Send(CallId, ServerId, Duration),
     Cancel(CallId, TryNumber),
     Limit(CallId, Duration),
@@ -35,49 +35,49 @@
     Tell(Option<u32>, Vec<u8>),
 }
 
-pub trait Minds {
+pub trait DecisionEngine {
     /// Something has happened at a gateway.
-    fn hand(&mut self, now: Duration, gateway: usize, news: News) -> Result<(), String>;
+    fn deliver(&mut self, now: Duration, gateway: usize, event: GatewayEvent) -> Result<(), String>;
     /// All that has been done since, in its order.
-    fn deeds(&mut self) -> Result<Vec<(usize, Deed)>, String>;
+    fn actions(&mut self) -> Result<Vec<(usize, GatewayAction)>, String>;
 }
 
 // ---- in this process ----
 
-type Line = Rc<RefCell<Vec<(usize, Deed)>>>;
+type ActionLog = Rc<RefCell<Vec<(usize, GatewayAction)>>>;
 
-struct Hands {
+struct EnginePort {
     gateway: usize,
-    line: Line,
+    line: ActionLog,
 }
 
-impl Hands {
-    fn does(&mut self, deed: Deed) {
-        self.line.borrow_mut().push((self.gateway, deed));
+impl EnginePort {
+    fn record(&mut self, action: GatewayAction) {
+        self.line.borrow_mut().push((self.gateway, action));
     }
 }
 
-impl Port for Hands {
+impl Port for EnginePort {
     fn send(&mut self, call: &CallId, server: &ServerId, timeout: Duration, _: Duration) {
-        self.does(Deed::Send(call.clone(), server.clone(), timeout));
+        self.record(GatewayAction::Send(call.clone(), server.clone(), timeout));
     }
     fn cancel(&mut self, call: &CallId, number: TryNumber) {
-        self.does(Deed::Cancel(call.clone(), number));
+        self.record(GatewayAction::Cancel(call.clone(), number));
     }
     fn rate_limit(&mut self, call: &CallId, retry_after: Duration) {
-        self.does(Deed::Limit(call.clone(), retry_after));
+        self.record(GatewayAction::Limit(call.clone(), retry_after));
     }
     fn error(&mut self, call: &CallId) {
-        self.does(Deed::Error(call.clone()));
+        self.record(GatewayAction::Error(call.clone()));
     }
     fn count(&mut self, name: CounterName, add: f64, keep: Duration) {
-        self.does(Deed::Count(name, add, keep));
+        self.record(GatewayAction::Count(name, add, keep));
     }
     fn wake(&mut self, token: WakeToken, at: Duration) {
-        self.does(Deed::Wake(token, at));
+        self.record(GatewayAction::Wake(token, at));
     }
     fn tell(&mut self, peer: Option<u32>, body: &[u8]) {
-        self.does(Deed::Tell(peer, body.to_vec()));
+        self.record(GatewayAction::Tell(peer, body.to_vec()));
     }
     // The world needs none of these: it tells the list by itself, and the decisions send no probes.
     fn probe(&mut self, _: &ServerId) {}
@@ -88,67 +88,67 @@
 }
 
 #[derive(Default)]
-pub struct Here {
+pub struct InProcess {
     controls: BTreeMap<usize, Control>,
-    line: Line,
+    line: ActionLog,
 }
 
-impl Minds for Here {
-    fn hand(&mut self, now: Duration, gateway: usize, news: News) -> Result<(), String> {
-        let news = match news {
-            News::Start { settings, seed } => {
+impl DecisionEngine for InProcess {
+    fn deliver(&mut self, now: Duration, gateway: usize, event: GatewayEvent) -> Result<(), String> {
+        let event = match event {
+            GatewayEvent::Start { settings, seed } => {
                 let settings = wellcrank_settings::decode(&settings).map_err(|error| error.to_string())?;
-                let hands = Hands { gateway, line: self.line.clone() };
-                self.controls.insert(gateway, Control::new(Rc::new(settings), seed, now, Box::new(hands)));
+                let port = EnginePort { gateway, line: self.line.clone() };
+                self.controls.insert(gateway, Control::new(Rc::new(settings), seed, now, Box::new(port)));
                 return Ok(());
             }
-            News::Killed => {
+            GatewayEvent::Killed => {
                 self.controls.remove(&gateway);
                 return Ok(());
             }
-            news => news,
+            event => event,
         };
         let Some(control) = self.controls.get_mut(&gateway) else { return Ok(()) };
         control.tell_time(now);
-        match news {
-            News::Listed(whole, lines) => control.listed(whole, lines),
-            News::Arrived(arrival) => control.arrived(arrival),
-            News::Ended(call, number, end) => control.ended(&call, number, end),
-            News::Counted(name, counted) => control.counted(name, counted),
-            News::Gone(call) => control.gone(&call),
-            News::Woken(token) => control.woken(token),
-            News::Start { .. } | News::Killed => (),
+        match event {
+            GatewayEvent::Listed(whole, lines) => control.listed(whole, lines),
+            GatewayEvent::Arrived(arrival) => control.arrived(arrival),
+            GatewayEvent::Ended(call, number, end) => control.ended(&call, number, end),
+            GatewayEvent::Counted(name, counted) => control.counted(name, counted),
+            GatewayEvent::Gone(call) => control.gone(&call),
+            GatewayEvent::Woken(token) => control.woken(token),
+            GatewayEvent::Start { .. } | GatewayEvent::Killed => (),
         }
         Ok(())
     }
 
-    fn deeds(&mut self) -> Result<Vec<(usize, Deed)>, String> {
+    fn actions(&mut self) -> Result<Vec<(usize, GatewayAction)>, String> {
         Ok(std::mem::take(&mut *self.line.borrow_mut()))
     }
 }
 
-// ---- another build, over the drill's wire ----
+// ---- another build, over the simulator's wire ----
 
-pub struct Drill {
+pub struct ExternalEngine {
     child: Child,
     input: ChildStdin,
     output: BufReader<ChildStdout>,
     batch: String,
     at: Option<Duration>,
-    deeds: Vec<(usize, Deed)>,
+    actions: Vec<(usize, GatewayAction)>,
 }
 
 fn nanos(span: Duration) -> u64 {
     span.as_nanos() as u64
 }
 
-impl Drill {
-    pub fn start(program: &str) -> Result<Drill, String> {
+impl ExternalEngine {
+    pub fn start(program: &str) -> Result<ExternalEngine, String> {
         let child = Command::new(program).stdin(Stdio::piped()).stdout(Stdio::piped()).spawn();
         let mut child = child.map_err(|error| format!("{program}: {error}"))?;
-        let input = child.stdin.take().ok_or("no input to the drill")?;
-        let output = BufReader::new(child.stdout.take().ok_or("no output of the drill")?);
-        Ok(Drill { child, input, output, batch: String::new(), at: None, deeds: Vec::new() })
+        let input = child.stdin.take().ok_or("no input to the other build")?;
+        let output = BufReader::new(child.stdout.take().ok_or("no output of the other build")?);
+        Ok(ExternalEngine { child, input, output, batch: String::new(), at: None, actions: Vec::new() })
     }
 
     fn event(&mut self, now: Duration, event: Value) -> Result<(), String> {
@@ -168,60 +168,61 @@
         }
         self.batch.push_str("{\"event_type\":\"eob\"}\n");
         let sent = self.input.write_all(self.batch.as_bytes()).and_then(|()| self.input.flush());
-        sent.map_err(|error| format!("the drill takes nothing more: {error}"))?;
+        sent.map_err(|error| format!("the other build takes nothing more: {error}"))?;
         self.batch.clear();
         self.at = None;
         loop {
             let mut line = String::new();
             let read = self.output.read_line(&mut line).map_err(|error| error.to_string())?;
             if read == 0 {
-                return Err("the drill has ended".into());
+                return Err("the other build has ended".into());
             }
-            let said: Value = serde_json::from_str(&line).map_err(|error| format!("the drill: {error}"))?;
+            let said: Value =
+                serde_json::from_str(&line).map_err(|error| format!("the other build: {error}"))?;
             if said["event_type"] == "finished" {
                 return Ok(());
             }
             let gateway = said["i"].as_u64().unwrap_or(0) as usize;
-            if let Some(deed) = deed(&said) {
-                self.deeds.push((gateway, deed));
+            if let Some(action) = action(&said) {
+                self.actions.push((gateway, action));
             }
         }
     }
 }
 
-/// An action on the drill's wire; none where the world needs none.
-fn deed(said: &Value) -> Option<Deed> {
+/// An action on the simulator's wire; none where the world needs none.
+fn action(said: &Value) -> Option<GatewayAction> {
     let text = |name: &str| said[name].as_str().unwrap_or_default();
     let span = |name: &str| Duration::from_nanos(said[name].as_u64().unwrap_or(0));
     let call = || CallId::from(text("txn"));
     Some(match text("event_type") {
-        "transmit" => Deed::Send(call(), text("server").into(), span("timeout_ns")),
-        "undo_send" => Deed::Cancel(call(), TryNumber(said["attempt"].as_u64().unwrap_or(0) as u32)),
-        "turn_away" => Deed::Limit(call(), span("backoff_ns")),
-        "give_up" => Deed::Error(call()),
+        "transmit" => GatewayAction::Send(call(), text("server").into(), span("timeout_ns")),
+        "undo_send" => GatewayAction::Cancel(call(), TryNumber(said["attempt"].as_u64().unwrap_or(0) as u32)),
+        "turn_away" => GatewayAction::Limit(call(), span("backoff_ns")),
+        "give_up" => GatewayAction::Error(call()),
         "bump" => {
             let name = CounterName(said["name"].as_u64().unwrap_or(0));
-            Deed::Count(name, said["step"].as_f64().unwrap_or(0.0), span("expire_in_ns"))
+            GatewayAction::Count(name, said["step"].as_f64().unwrap_or(0.0), span("expire_in_ns"))
         }
-        "defer" => Deed::Wake(WakeToken(said["token"].as_u64().unwrap_or(0)), span("due_at_ns")),
+        "defer" => GatewayAction::Wake(WakeToken(said["token"].as_u64().unwrap_or(0)), span("due_at_ns")),
         "post" => {
             let body = text("body");
             let bytes =
                 (0..body.len() / 2).filter_map(|at| u8::from_str_radix(&body[at * 2..at * 2 + 2], 16).ok());
-            Deed::Tell(said["recipient"].as_u64().map(|peer| peer as u32), bytes.collect())
+            GatewayAction::Tell(said["recipient"].as_u64().map(|peer| peer as u32), bytes.collect())
         }
         _ => return None,
     })
 }
 
-impl Minds for Drill {
-    fn hand(&mut self, now: Duration, gateway: usize, news: News) -> Result<(), String> {
-        let event = match news {
-            News::Start { settings, seed } => {
+impl DecisionEngine for ExternalEngine {
+    fn deliver(&mut self, now: Duration, gateway: usize, event: GatewayEvent) -> Result<(), String> {
+        let event = match event {
+            GatewayEvent::Start { settings, seed } => {
                 json!({"event_type": "open_instance", "i": gateway, "config": settings, "salt": seed})
             }
-            News::Killed => json!({"event_type": "crash_now", "i": gateway}),
-            News::Listed(whole, lines) => {
+            GatewayEvent::Killed => json!({"event_type": "crash_now", "i": gateway}),
+            GatewayEvent::Listed(whole, lines) => {
                 let lines: Vec<Value> = lines.iter().map(|line| json!({
                     "server": &*line.server.0, "pod": line.cell, "region_part": line.zone, "hw": line.kind,
                     "weight": line.weight, "since_ns": line.started.map_or(0, nanos),
@@ -229,12 +230,12 @@
                 })).collect();
                 json!({"event_type": "fleet", "i": gateway, "scope": if whole { "F" } else { "D" }, "lines": lines})
             }
-            News::Arrived(it) => json!({
+            GatewayEvent::Arrived(it) => json!({
                 "event_type": "inbound", "i": gateway, "txn": &*it.call.0, "holder": &*it.customer.0,
                 "plan": &*it.plan.0, "qos": &*it.route.0, "size_units": it.units,
                 "valid_until_ns": nanos(it.until), "from_no": it.first, "spread": it.spread,
             }),
-            News::Ended(call, number, end) => json!({
+            GatewayEvent::Ended(call, number, end) => json!({
                 "event_type": "report_back", "i": gateway, "txn": &*call.0, "attempt": number.0,
                 "lag_ns": nanos(end.latency), "closed": end.closed, "settled": end.settled, "pressure": end.load,
                 "disposition": match end.outcome {
@@ -248,7 +249,7 @@
                     Outcome::NotSent => "N",
                 },
             }),
-            News::Counted(name, counted) => {
+            GatewayEvent::Counted(name, counted) => {
                 let (how, total) = match counted {
                     Counted::Total(total) => ("S", Some(total)),
                     Counted::Added | Counted::Unsure => ("T", None),
@@ -256,19 +257,19 @@
                 };
                 json!({"event_type": "tallied", "i": gateway, "name": name.0, "disposition": how, "total": total})
             }
-            News::Gone(call) => json!({"event_type": "vanished", "i": gateway, "txn": &*call.0}),
-            News::Woken(token) => json!({"event_type": "wake", "i": gateway, "token": token.0}),
+            GatewayEvent::Gone(call) => json!({"event_type": "vanished", "i": gateway, "txn": &*call.0}),
+            GatewayEvent::Woken(token) => json!({"event_type": "wake", "i": gateway, "token": token.0}),
         };
         self.event(now, event)
     }
 
-    fn deeds(&mut self) -> Result<Vec<(usize, Deed)>, String> {
+    fn actions(&mut self) -> Result<Vec<(usize, GatewayAction)>, String> {
         self.flush()?;
-        Ok(std::mem::take(&mut self.deeds))
+        Ok(std::mem::take(&mut self.actions))
     }
 }
 
-impl Drop for Drill {
+impl Drop for ExternalEngine {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -388,9 +388,11 @@
     pub change: toml::Table,
     /// What the program is told in place of the truth, in the words of its configuration.
     pub told: toml::Table,
-    /// Another build's programs: the edge node on loopback, the drill in simulated time.
+    /// Another build's programs: the edge node on loopback, the adapter to the simulator in simulated time (`drill` in older
+    /// files).
     pub edge: Option<String>,
-    pub drill: Option<String>,
+    #[serde(alias = "drill")]
+    pub simulator: Option<String>,
 }
 
 fn one() -> f64 {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,10 +5,10 @@
 pub mod agree;
 pub mod bears;
 pub mod clock;
+pub mod decision_engine;
 pub mod experiment;
 pub mod loopback;
 pub mod measure;
-pub mod minds;
 pub mod record;
 pub mod referee;
 pub mod report;
--- a/lab/src/simulated.rs
+++ b/lab/src/simulated.rs
@@ -3,9 +3,9 @@
 //! connection carries a try, when its time is up, what a call on the counter that is late comes to) is played
 //! here as `edge/` does it; the processor time of a gateway is not.
 
+use crate::decision_engine::{DecisionEngine, ExternalEngine, GatewayAction, GatewayEvent, InProcess};
 use crate::experiment::{Experiment, Variant};
 use crate::measure::Results;
-use crate::minds::{Deed, Drill, Here, Minds, News};
 use crate::record::Recorded;
 use crate::referee::Verdict;
 use crate::told;
@@ -110,7 +110,7 @@
 
 struct Day<'a> {
     world: World,
-    minds: Box<dyn Minds + 'a>,
+    engine: Box<dyn DecisionEngine + 'a>,
     gateways: Vec<Gateway>,
     events: BinaryHeap<Reverse<(Duration, u64)>>,
     what: BTreeMap<u64, Event>,
@@ -130,14 +130,14 @@
 pub fn play(experiment: &Experiment, variant: &Variant, seed: u64, terms: &Terms) -> Result<Results, String> {
     let changed = experiment.with(variant).map_err(|wrongs| format!("{wrongs:?}"))?;
     let world = World::new(&changed, seed, false, SLACK, terms.replay.clone());
-    let minds: Box<dyn Minds> = match &variant.drill {
-        Some(program) => Box::new(Drill::start(program)?),
-        None => Box::new(Here::default()),
+    let engine: Box<dyn DecisionEngine> = match &variant.simulator {
+        Some(program) => Box::new(ExternalEngine::start(program)?),
+        None => Box::new(InProcess::default()),
     };
     let mut day = Day {
         gateways: (0..changed.fleet.gateways).map(|_| Gateway::default()).collect(),
         world,
-        minds,
+        engine,
         events: BinaryHeap::new(),
         what: BTreeMap::new(),
         last: 0,
@@ -198,12 +198,12 @@
             }
             // What is done may have something happen at this very moment, to which more is done.
             loop {
-                let deeds = self.minds.deeds()?;
-                if deeds.is_empty() {
+                let actions = self.engine.actions()?;
+                if actions.is_empty() {
                     break;
                 }
-                for (gateway, deed) in deeds {
-                    self.deed(gateway, deed)?;
+                for (gateway, action) in actions {
+                    self.action(gateway, action)?;
                 }
             }
         }
@@ -212,8 +212,8 @@
         Ok(())
     }
 
-    fn hand(&mut self, gateway: usize, news: News) -> Result<(), String> {
-        self.minds.hand(ORIGIN + self.now, gateway, news)
+    fn hand(&mut self, gateway: usize, news: GatewayEvent) -> Result<(), String> {
+        self.engine.deliver(ORIGIN + self.now, gateway, news)
     }
 
     /// A gateway starts with the list as it was last told it.
@@ -222,7 +222,7 @@
         let it = &mut self.gateways[gateway];
         *it = Gateway { life: it.life + 1, up: true, ..Gateway::default() };
         let (life, seed) = (it.life, self.seeds.generate());
-        self.hand(gateway, News::Start { settings, seed })?;
+        self.hand(gateway, GatewayEvent::Start { settings, seed })?;
         let upto = self.world.upto(gateway);
         let list = self.world.list(upto);
         self.gateways[gateway].told = upto;
@@ -259,7 +259,7 @@
             }
             return Ok(());
         }
-        self.hand(gateway, News::Listed(whole, lines))
+        self.hand(gateway, GatewayEvent::Listed(whole, lines))
     }
 
     /// What the world leaves to be carried out.
@@ -351,7 +351,7 @@
         for ask in calls.into_keys() {
             self.world.not_taken(self.now, ask);
         }
-        self.hand(gateway, News::Killed)
+        self.hand(gateway, GatewayEvent::Killed)
     }
 
     fn event(&mut self, event: Event) -> Result<(), String> {
@@ -360,7 +360,7 @@
             Event::Arrives(gateway, ask) => self.arrives(gateway, ask)?,
             Event::ClientLeft(gateway, ask) => {
                 if self.gateways[gateway].calls.remove(&ask).is_some() {
-                    self.hand(gateway, News::Gone(call_id(ask)))?;
+                    self.hand(gateway, GatewayEvent::Gone(call_id(ask)))?;
                 }
             }
             Event::Heard { ask, verdict, advice } => self.world.answered(now, ask, verdict, advice),
@@ -397,18 +397,18 @@
                         CounterSays::Busy => Counted::NotAdded,
                         CounterSays::Reset => Counted::Unsure,
                     };
-                    self.hand(at, News::Counted(call.name, counted))?;
+                    self.hand(at, GatewayEvent::Counted(call.name, counted))?;
                 }
             }
             Event::CountTimeUp { at, life, number } => {
                 let it = &mut self.gateways[at];
                 if let Some(call) = (it.life == life).then(|| it.counts.remove(&number)).flatten() {
-                    self.hand(at, News::Counted(call.name, Counted::Unsure))?;
+                    self.hand(at, GatewayEvent::Counted(call.name, Counted::Unsure))?;
                 }
             }
             Event::Woken { at, life, token } => {
                 if self.gateways[at].life == life {
-                    self.hand(at, News::Woken(token))?;
+                    self.hand(at, GatewayEvent::Woken(token))?;
                 }
             }
             Event::Listed { at, life, upto } => {
@@ -468,24 +468,24 @@
         };
         let call = OpenCall { until, tries: 0, answered: false, ended: 0 };
         self.gateways[gateway].calls.insert(ask, call);
-        self.hand(gateway, News::Arrived(arrival))
+        self.hand(gateway, GatewayEvent::Arrived(arrival))
     }
 
-    fn deed(&mut self, gateway: usize, deed: Deed) -> Result<(), String> {
+    fn action(&mut self, gateway: usize, action: GatewayAction) -> Result<(), String> {
         let now = self.now;
         if !self.gateways[gateway].up {
             return Ok(());
         }
         let life = self.gateways[gateway].life;
-        match deed {
-            Deed::Send(call, server, timeout) => {
+        match action {
+            GatewayAction::Send(call, server, timeout) => {
                 let Some(ask) = ask_id(&call) else { return Ok(()) };
                 self.send(gateway, ask, &server, timeout)?;
                 if self.fault == Some(Fault::SendsTwice) && self.twice.insert(ask) {
                     self.send(gateway, ask, &server, timeout)?;
                 }
             }
-            Deed::Cancel(call, number) => {
+            GatewayAction::Cancel(call, number) => {
                 let Some(ask) = ask_id(&call) else { return Ok(()) };
                 let key = (gateway, life, ask, number.0);
                 if self.out(key).is_some() {
@@ -493,9 +493,9 @@
                     self.ended(key, Outcome::Cancelled, None, BTreeMap::new(), false)?;
                 }
             }
-            Deed::Limit(call, after) => self.answer(gateway, &call, Verdict::Limited, Some(after)),
-            Deed::Error(call) => self.answer(gateway, &call, Verdict::Errored, None),
-            Deed::Count(name, add, keep) => {
+            GatewayAction::Limit(call, after) => self.answer(gateway, &call, Verdict::Limited, Some(after)),
+            GatewayAction::Error(call) => self.answer(gateway, &call, Verdict::Errored, None),
+            GatewayAction::Count(name, add, keep) => {
                 let it = &mut self.gateways[gateway];
                 it.next_count += 1;
                 let number = it.next_count;
@@ -504,10 +504,10 @@
                 self.at(now + self.world.near(), Event::CountArrives { at: gateway, life, number });
                 self.at(now + limit, Event::CountTimeUp { at: gateway, life, number });
             }
-            Deed::Wake(token, at) => {
+            GatewayAction::Wake(token, at) => {
                 self.at(at.saturating_sub(ORIGIN), Event::Woken { at: gateway, life, token });
             }
-            Deed::Tell(peer, body) => {
+            GatewayAction::Tell(peer, body) => {
                 let all = 0..self.gateways.len();
                 let to: Vec<usize> = match peer {
                     Some(peer) => all.filter(|other| *other == peer as usize).collect(),
@@ -707,6 +707,6 @@
         }
         let latency = now.saturating_sub(out.sent);
         let end = Ended { outcome, latency, closed, settled, load };
-        self.hand(gateway, News::Ended(call_id(ask), TryNumber(number), end))
+        self.hand(gateway, GatewayEvent::Ended(call_id(ask), TryNumber(number), end))
     }
 }
