--- a/edge/src/gateway.rs
+++ b/edge/src/gateway.rs
@@ -9,6 +9,7 @@
 use crate::pool::Pool;
 use crate::reactor::{Due, Notification, Reactor, Side};
 use crate::shutdown::GracefulShutdown;
+use crate::StartupOnly;
 use mio::event::Event;
 use signal_hook::consts::SIGHUP;
 use signal_hook_mio::v1_0::Signals;
@@ -32,6 +33,7 @@
     pub peers: Peers,
     pub signals: Signals,
     pub started: Duration,
+    pub startup_only: StartupOnly,
     /// Seconds since the start, and when the next one is due.
     pub seconds: u64,
     pub next_second: Duration,
@@ -55,7 +57,7 @@
             (Side::Signal, _) => {
                 for signal in self.signals.pending() {
                     if signal == SIGHUP {
-                        reread(reactor, &mut self.counter, &mut self.discovery);
+                        reread(reactor, &mut self.counter, &mut self.discovery, &self.startup_only);
                     } else if reactor.shutdown.is_none() {
                         slog::info!(reactor.log, "stopping: still answering"; "open" => calls.len());
                         reactor.shutdown = Some(GracefulShutdown::new(reactor.now, &reactor.settings));
@@ -198,10 +200,16 @@
 
 /// SIGHUP: the file is read again. Its settings hold from now on, and it is followed where it says that others are; a
 /// bad one changes nothing.
-fn reread(reactor: &mut Reactor, counter: &mut Counter, discovery: &mut Discovery) {
-    let read = crate::told().and_then(|told| Ok((wellcrank_settings::decode(&told.settings)?, told)));
-    match read {
-        Ok((settings, told)) => {
+fn reread(reactor: &mut Reactor, counter: &mut Counter, discovery: &mut Discovery, started: &StartupOnly) {
+    match crate::told() {
+        Ok((told, settings)) => {
+            let mut later = started.differing(&told.startup_only());
+            if settings.limits.peers != reactor.settings.limits.peers {
+                later.push("settings.ceilings.peers");
+            }
+            if !later.is_empty() {
+                slog::warn!(reactor.log, "these count at the next start only"; "fields" => later.join(", "));
+            }
             reconfigure(reactor, discovery, settings);
             slog::info!(reactor.log, "file read again"; "discovery" => %told.discovery, "counter" => ?told.counter);
             discovery.move_to(reactor, told.discovery);
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -30,7 +30,7 @@
 use std::rc::Rc;
 use std::sync::Mutex;
 use wellcrank::control::Control;
-use wellcrank::settings::DiscoveryMode;
+use wellcrank::settings::{DiscoveryMode, Settings};
 
 /// What a gateway is told when it starts, and on SIGHUP again; from then on where others are counts.
 #[derive(Deserialize)]
@@ -51,17 +51,56 @@
 }
 
 /// What the process may hold; nothing: it was not told.
-#[derive(Default, Deserialize)]
+#[derive(Clone, Default, Deserialize, PartialEq)]
 #[serde(default)]
 struct Limits {
     memory_mb: usize,
     sockets: usize,
 }
 
-pub fn told() -> Result<Told, Box<dyn Error>> {
+/// What counts at the start only.
+#[derive(Clone, PartialEq)]
+pub struct StartupOnly {
+    listen: SocketAddr,
+    limits: Limits,
+    peer_listen: Option<SocketAddr>,
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+}
+
+impl Told {
+    pub fn startup_only(&self) -> StartupOnly {
+        StartupOnly {
+            listen: self.listen,
+            limits: self.limits.clone(),
+            peer_listen: self.peer_listen,
+            peers: self.peers.clone(),
+            peers_all: self.peers_all,
+        }
+    }
+}
+
+impl StartupOnly {
+    /// The names of what the other has otherwise.
+    pub fn differing(&self, other: &StartupOnly) -> Vec<&'static str> {
+        let fields = [
+            ("listen", self.listen != other.listen),
+            ("limits", self.limits != other.limits),
+            ("peer_listen", self.peer_listen != other.peer_listen),
+            ("peers", self.peers != other.peers),
+            ("peers_all", self.peers_all != other.peers_all),
+        ];
+        fields.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+    }
+}
+
+/// The file that `BALANCER_CONFIG` names, and its settings, checked. What is wrong is told with the file and the place.
+pub fn told() -> Result<(Told, Settings), Box<dyn Error>> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG names no file")?;
     let text = std::fs::read(&path).map_err(|error| format!("{path}: {error}"))?;
-    Ok(serde_json::from_slice(&text).map_err(|error| format!("{path}: {error}"))?)
+    let told: Told = serde_json::from_slice(&text).map_err(|error| format!("{path}: {error}"))?;
+    let settings = wellcrank_settings::decode(&told.settings).map_err(|error| format!("{path}: {error}"))?;
+    Ok((told, settings))
 }
 
 /// Log lines go to standard error, each as soon as it is made.
@@ -72,8 +111,8 @@
     Logger::root(Mutex::new(drain).ignore_res(), slog::o!("node" => name.to_string()))
 }
 
-fn serve(told: Told, log: &Logger) -> Result<(), Box<dyn Error>> {
-    let settings = Rc::new(wellcrank_settings::decode(&told.settings)?);
+fn serve(told: Told, settings: Settings, log: &Logger) -> Result<(), Box<dyn Error>> {
+    let (settings, startup_only) = (Rc::new(settings), told.startup_only());
     let mut poll = Poll::new()?;
     let mut signals = Signals::new([SIGTERM, SIGHUP])?;
     let registry = poll.registry().try_clone()?;
@@ -105,6 +144,7 @@
         peers,
         signals,
         started: now,
+        startup_only,
         seconds: 0,
         next_second: now,
     }));
@@ -127,9 +167,9 @@
 
 /// Runs the gateway that `BALANCER_CONFIG` names; exits with 1 where it cannot start or go on.
 pub fn main() {
-    let done = told().and_then(|told| {
+    let done = told().and_then(|(told, settings)| {
         let log = logger(&told.name);
-        serve(told, &log)
+        serve(told, settings, &log)
     });
     if let Err(complaint) = done {
         eprintln!("wellcrank-edge: {complaint}");
