Ranks and cold shares are computed once, and only where they are needed

- `draw` ranked up to twelve servers with a key that was computed at each comparison, with a power in it: cached, still stable.
- `share` summed the usual latencies of all routes for every server that was asked about, warm ones too, and threw the sum away: it returns early.
With twelve draws in place of four that is the hot path.
- The count of gateways, one at the least, stood three times: `Settings::gateway_count`.
- Tries were compared with their limit as floating point figures; both are counts.
- A comment still spoke of distrust; two names in the laboratory were left from before.

--- a/edge/src/calls.rs
+++ b/edge/src/calls.rs
@@ -76,7 +76,7 @@
         if list.len() > LIST || !list.bytes().all(|byte| byte.is_ascii_graphic()) {
             return Err("an unreadable list");
         }
-        let gateways = f64::from(settings.gateways.max(1));
+        let gateways = settings.gateway_count();
         let (mut route, mut plan, mut key, mut wait) = ("", "", "", 0.0);
         let (mut units, mut first, mut spread) = (1.0, 0.0, 1.0);
         let mut seen = Vec::with_capacity(8);
--- a/lab/src/decision_engine.rs
+++ b/lab/src/decision_engine.rs
@@ -48,12 +48,12 @@
 
 struct EnginePort {
     gateway: usize,
-    line: ActionLog,
+    log: ActionLog,
 }
 
 impl EnginePort {
     fn record(&mut self, action: GatewayAction) {
-        self.line.borrow_mut().push((self.gateway, action));
+        self.log.borrow_mut().push((self.gateway, action));
     }
 }
 
@@ -90,7 +90,7 @@
 #[derive(Default)]
 pub struct InProcess {
     controls: BTreeMap<usize, Control>,
-    line: ActionLog,
+    log: ActionLog,
 }
 
 impl DecisionEngine for InProcess {
@@ -98,7 +98,7 @@
         let event = match event {
             GatewayEvent::Start { settings, seed } => {
                 let settings = wellcrank_settings::decode(&settings).map_err(|error| error.to_string())?;
-                let port = EnginePort { gateway, line: self.line.clone() };
+                let port = EnginePort { gateway, log: self.log.clone() };
                 self.controls.insert(gateway, Control::new(Rc::new(settings), seed, now, Box::new(port)));
                 return Ok(());
             }
@@ -123,7 +123,7 @@
     }
 
     fn actions(&mut self) -> Result<Vec<(usize, GatewayAction)>, String> {
-        Ok(std::mem::take(&mut *self.line.borrow_mut()))
+        Ok(std::mem::take(&mut *self.log.borrow_mut()))
     }
 }
 
--- a/lab/src/simulated.rs
+++ b/lab/src/simulated.rs
@@ -212,8 +212,8 @@
         Ok(())
     }
 
-    fn hand(&mut self, gateway: usize, news: GatewayEvent) -> Result<(), String> {
-        self.engine.deliver(ORIGIN + self.now, gateway, news)
+    fn deliver(&mut self, gateway: usize, event: GatewayEvent) -> Result<(), String> {
+        self.engine.deliver(ORIGIN + self.now, gateway, event)
     }
 
     /// A gateway starts with the list as it was last told it.
@@ -222,7 +222,7 @@
         let it = &mut self.gateways[gateway];
         *it = Gateway { life: it.life + 1, up: true, ..Gateway::default() };
         let (life, seed) = (it.life, self.seeds.generate());
-        self.hand(gateway, GatewayEvent::Start { settings, seed })?;
+        self.deliver(gateway, GatewayEvent::Start { settings, seed })?;
         let upto = self.world.upto(gateway);
         let list = self.world.list(upto);
         self.gateways[gateway].told = upto;
@@ -259,7 +259,7 @@
             }
             return Ok(());
         }
-        self.hand(gateway, GatewayEvent::Listed(whole, lines))
+        self.deliver(gateway, GatewayEvent::Listed(whole, lines))
     }
 
     /// What the world leaves to be carried out.
@@ -351,7 +351,7 @@
         for ask in calls.into_keys() {
             self.world.not_taken(self.now, ask);
         }
-        self.hand(gateway, GatewayEvent::Killed)
+        self.deliver(gateway, GatewayEvent::Killed)
     }
 
     fn event(&mut self, event: Event) -> Result<(), String> {
@@ -360,7 +360,7 @@
             Event::Arrives(gateway, ask) => self.arrives(gateway, ask)?,
             Event::ClientLeft(gateway, ask) => {
                 if self.gateways[gateway].calls.remove(&ask).is_some() {
-                    self.hand(gateway, GatewayEvent::Gone(call_id(ask)))?;
+                    self.deliver(gateway, GatewayEvent::Gone(call_id(ask)))?;
                 }
             }
             Event::Heard { ask, verdict, advice } => self.world.answered(now, ask, verdict, advice),
@@ -397,18 +397,18 @@
                         CounterSays::Busy => Counted::NotAdded,
                         CounterSays::Reset => Counted::Unsure,
                     };
-                    self.hand(at, GatewayEvent::Counted(call.name, counted))?;
+                    self.deliver(at, GatewayEvent::Counted(call.name, counted))?;
                 }
             }
             Event::CountTimeUp { at, life, number } => {
                 let it = &mut self.gateways[at];
                 if let Some(call) = (it.life == life).then(|| it.counts.remove(&number)).flatten() {
-                    self.hand(at, GatewayEvent::Counted(call.name, Counted::Unsure))?;
+                    self.deliver(at, GatewayEvent::Counted(call.name, Counted::Unsure))?;
                 }
             }
             Event::Woken { at, life, token } => {
                 if self.gateways[at].life == life {
-                    self.hand(at, GatewayEvent::Woken(token))?;
+                    self.deliver(at, GatewayEvent::Woken(token))?;
                 }
             }
             Event::Listed { at, life, upto } => {
@@ -468,7 +468,7 @@
         };
         let call = OpenCall { until, tries: 0, answered: false, ended: 0 };
         self.gateways[gateway].calls.insert(ask, call);
-        self.hand(gateway, GatewayEvent::Arrived(arrival))
+        self.deliver(gateway, GatewayEvent::Arrived(arrival))
     }
 
     fn action(&mut self, gateway: usize, action: GatewayAction) -> Result<(), String> {
@@ -707,6 +707,6 @@
         }
         let latency = now.saturating_sub(out.sent);
         let end = Ended { outcome, latency, closed, settled, load };
-        self.hand(gateway, GatewayEvent::Ended(call_id(ask), TryNumber(number), end))
+        self.deliver(gateway, GatewayEvent::Ended(call_id(ask), TryNumber(number), end))
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -101,7 +101,7 @@
     }
 
     fn gateways(&self) -> f64 {
-        f64::from(self.settings.gateways.max(1))
+        self.settings.gateway_count()
     }
 
     pub fn tell_time(&mut self, now: Duration) {
--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -92,7 +92,7 @@
         let customer = asked.arrival.customer.clone();
         let barred = once && asked.route.repeat == Repeat::NonIdempotent;
         let late = self.patience(&self.calls[call]) < ms(50);
-        let tried = f64::from(tries) >= f64::from(self.settings.limits.max_attempts);
+        let tried = tries >= self.settings.limits.max_attempts;
         if late || barred || tried || self.fleet.further < 1.0 {
             return self.answer(call, RETRY_AFTER);
         }
--- a/src/control/counter_pacing.rs
+++ b/src/control/counter_pacing.rs
@@ -13,7 +13,7 @@
 pub(super) const SPARE: f64 = 0.7; // with this share of the calls in hand, what can be done without is done
 
 pub(super) fn at_start(settings: &Settings, now: Duration) -> Bears {
-    let pace = START_PACE / f64::from(settings.gateways.max(1));
+    let pace = START_PACE / settings.gateway_count();
     Bears { quick_to: f64::INFINITY, thin: THIN, filled: now, pace, ..Bears::default() }
 }
 
--- a/src/control/server_choice.rs
+++ b/src/control/server_choice.rs
@@ -66,12 +66,14 @@
     pub(super) fn share(&self, server: &Server) -> Option<Share> {
         let (warmth, over) = (self.warmth(server), self.settings.rules.overload_for);
         let multiple = self.settings.rules.fall_multiple;
+        if warmth >= 1.0 || multiple <= 0.0 || over.is_zero() {
+            return None;
+        }
         let users = self.gateways() * self.own.len() as f64 / self.ids.len().max(1) as f64;
         let usual = self.usual.values().sum::<f64>() / self.usual.len() as f64;
         let seen = self.fleet.done.0 / self.fleet.warm.max(1.0) * users;
         let bears = seen.max(1.0 / if usual > 0.0 { usual } else { 1.0 });
-        let share = || Share::of(bears * warmth * multiple * COLD_SHARE, users, over);
-        (warmth < 1.0 && multiple > 0.0 && !over.is_zero()).then(share)
+        Some(Share::of(bears * warmth * multiple * COLD_SHARE, users, over))
     }
 
     /// Room for one more: the gateway's own limit, and for a cold server its share of the rule's budget.
@@ -126,7 +128,7 @@
         }
         let anywhere = self.route_loss(route);
         let loss = |id: &ServerId| self.loss(&self.servers[id], route, anywhere);
-        found.sort_by_key(|id| (loss(id) / (anywhere + LEAST_LOSS) * LOSS_STEPS) as u32);
+        found.sort_by_cached_key(|id| (loss(id) / (anywhere + LEAST_LOSS) * LOSS_STEPS) as u32);
         found.truncate(2);
         let again = || last.filter(|id| self.servers.get(*id).is_some_and(able));
         let [one, two] = found[..] else { return found.pop().or_else(again).cloned() };
--- a/src/control/server_health.rs
+++ b/src/control/server_health.rs
@@ -13,7 +13,7 @@
 }
 
 impl Control {
-    /// Moves the server's pace, distrust and room by how a try ended.
+    /// Moves the server's pace and the room at all of them by how a try ended.
     pub(super) fn judge(&mut self, server: &ServerId, route: &RouteName, end: &Ended) {
         let (took, now) = (end.latency.as_secs_f64(), self.now);
         let quick = took < self.settings.route(route).latency_target.as_secs_f64() * QUICK;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -165,6 +165,11 @@
         self.routes.get(name).unwrap_or(&NO_ROUTE)
     }
 
+    /// How many gateways share the quotas, the servers and the counter: this one at the least.
+    pub fn gateway_count(&self) -> f64 {
+        f64::from(self.gateways.max(1))
+    }
+
     /// The longest that a client of any route waits.
     pub fn longest_timeout(&self) -> Duration {
         self.routes.values().map(|route| route.client_timeout).max().unwrap_or_default()
