--- a/review/2/test.rs
+++ b/review/2/test.rs
@@ -1,23 +1,26 @@
-//! Case 2: hundreds of clients stop in the middle of a long request and stay. The platform kills what goes over its memory.
+//! Case 2: hundreds of bad clients send hundreds of commands at once and half of a long one. The platform kills what goes
+//! over its memory.
 
 #[path = "../standins/common.rs"]
 mod common;
 
 use common::*;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Barrier, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// "By hundreds". The gateway has room for 664 clients with 1024 descriptors.
-const STUCK_CLIENTS: usize = 600;
-const SOCKETS: usize = 1024;
-const MEMORY_MB: usize = 32;
-/// A value holds 64 KiB at most; of a request with such a body the client sends this much.
+/// "By hundreds". The gateway has room for 239 clients with 384 descriptors.
+const BAD_CLIENTS: usize = 220;
+const SOCKETS: usize = 384;
+const MEMORY_MB: usize = 48;
+/// "Hundreds of commands at once", behind one good request, each with units that are out of range.
+const COMMANDS_AT_ONCE: u64 = 900;
+/// A value holds 64 KiB at most; of a request with such a body each client sends the beginning.
 const BODY_BYTES: usize = 65_536;
-const SENT_BYTES: usize = 65_000;
+const HALF_BYTES: usize = 65_000;
 const USUAL_REQUESTS: u64 = 20;
 const PAUSE_BETWEEN_REQUESTS: Duration = Duration::from_millis(100);
 const WAIT_MS: u64 = 1500;
@@ -32,7 +35,7 @@
         let record = record.clone();
         let address = start_app_server(&format!("app{n}"), move |received| {
             record.line(&format!("{} runs {}", received.server, received.id()));
-            Action::Answer(ms(60), value_answer(&received.id()))
+            Action::Answer(ms(150), value_answer(&received.id()))
         });
         discovery.enter(&format!("app{n}"), address, "active", 0);
     }
@@ -58,10 +61,10 @@
     thread::sleep(ms(1500));
     let mut usual = Vec::new();
     let answered = Arc::new(AtomicU64::new(0));
-    let mut stuck = Vec::new();
+    let mut bad = Vec::new();
     for id in 1..=USUAL_REQUESTS {
         if id == USUAL_REQUESTS / 2 && has_trouble() {
-            stuck = connect_stuck_clients(&record, listen);
+            bad = start_bad_clients(&record, listen);
         }
         let (record, answered) = (record.clone(), answered.clone());
         usual.push(thread::spawn(move || {
@@ -77,8 +80,10 @@
     let was_killed = platform.was_killed.load(Ordering::Relaxed);
     let is_running = gateway.is_running();
     gateway.copy_log();
-    drop(stuck);
     drop(gateway);
+    for thread in bad {
+        let _ = thread.join();
+    }
     record.say(&format!(
         "limit {MEMORY_MB} MB; most anonymous memory {} kB; killed for memory: {was_killed}; running at the end: \
          {is_running}; usual requests {USUAL_REQUESTS}, answered {}",
@@ -113,26 +118,53 @@
             send_signal(pid, SIGKILL);
             return;
         }
-        thread::sleep(ms(5));
+        thread::sleep(ms(2));
     });
     platform
 }
 
-/// Clients that send most of one `issue-ref` with a long body, and stay.
-fn connect_stuck_clients(record: &Record, listen: SocketAddr) -> Vec<TcpStream> {
-    let mut bytes = b"*5\r\n$10\r\nSVC.SUBMIT\r\n$16\r\n00000000b4d65521\r\n$16\r\n00000000000f0001\r\n".to_vec();
+/// Starts the bad clients. Each connects, sends one good request, its commands and the half of one more in one piece as
+/// soon as all have connected, and reads whatever it is sent until the gateway ends the connection.
+fn start_bad_clients(record: &Record, listen: SocketAddr) -> Vec<thread::JoinHandle<()>> {
+    let mut bytes = Vec::new();
+    for k in 0..COMMANDS_AT_ONCE {
+        let id = format!("{:016x}", (1 << 40) + k);
+        let list = "c=preview,t=full,d=1000,units=99,spread=1,first=0";
+        bytes.extend(command(&["SVC.QUERY", "00000000b4d65521", &id, list]));
+    }
+    let half_begins = bytes.len();
     let list = "c=issue-ref,t=full,d=2000,units=1,spread=1,first=0";
+    bytes.extend_from_slice(b"*5\r\n$10\r\nSVC.SUBMIT\r\n$16\r\n00000000b4d65521\r\n$16\r\n00000000000f0001\r\n");
     bytes.extend(format!("${}\r\n{list}\r\n${BODY_BYTES}\r\n", list.len()).into_bytes());
-    bytes.resize(SENT_BYTES, b'x');
-    let mut clients = Vec::new();
-    for _ in 0..STUCK_CLIENTS {
-        let Ok(mut stream) = TcpStream::connect(listen) else { break };
-        // A write can fail only once the gateway has been killed.
-        let _ = stream.write_all(&bytes);
-        clients.push(stream);
-    }
-    record.line(&format!("{} clients have sent {SENT_BYTES} bytes of a longer request, and stay", clients.len()));
-    clients
+    bytes.resize(half_begins + HALF_BYTES, b'x');
+    let connected = Arc::new(Barrier::new(BAD_CLIENTS));
+    record.line(&format!(
+        "{BAD_CLIENTS} bad clients connect; each sends a good request, {COMMANDS_AT_ONCE} bad ones and half of one \
+         more, some {} bytes in all",
+        bytes.len()
+    ));
+    (0..BAD_CLIENTS)
+        .map(|n| {
+            let connected = connected.clone();
+            let list = "c=preview,t=full,d=3000,units=1,spread=1,first=0";
+            let (customer, id) = (format!("{:016x}", 0x1000 + n), format!("{:016x}", (2u64 << 40) + n as u64));
+            let mut all = command(&["SVC.QUERY", &customer, &id, list]);
+            all.extend_from_slice(&bytes);
+            thread::spawn(move || {
+                let stream = TcpStream::connect(listen);
+                connected.wait();
+                let Ok(mut output) = stream else { return };
+                let Ok(mut input) = output.try_clone() else { return };
+                let reader = thread::spawn(move || {
+                    let mut buffer = [0; 65_536];
+                    while input.read(&mut buffer).is_ok_and(|count| count > 0) {}
+                });
+                // A write can fail only once the gateway has been killed.
+                let _ = output.write_all(&all);
+                let _ = reader.join();
+            })
+        })
+        .collect()
 }
 
 /// Sends one request on a new connection. Returns whether it was answered.
