Log slow iterations of the event loop, and count clients' commands and the longest iteration

Nothing told whether a gateway that hangs is busy with one long piece of work or goes round for ever. A line tells now how long an iteration of over 250 ms took, how many rounds of notifications and flushes it had and how many commands of clients it handled; the metrics count these commands and hold the longest iteration.

--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -244,6 +244,7 @@
                         is_ready: self.is_ready,
                         is_full: is_full(reactor, requests),
                     };
+                    reactor.count_client_command();
                     let command = &bytes[..length];
                     client.handle_command(reactor, key, command, words, requests, gateway);
                     consumed += length;
--- a/edge/src/event_loop.rs
+++ b/edge/src/event_loop.rs
@@ -26,6 +26,7 @@
         wait_for_events(poll, &mut events, timeout)?;
         handle_events(&mut gateway.borrow_mut(), &events);
         finish_iteration(gateway, controller);
+        gateway.borrow_mut().reactor.end_iteration();
     }
     Ok(())
 }
@@ -59,6 +60,7 @@
     loop {
         deliver_notifications(gateway, controller);
         let mut gateway = gateway.borrow_mut();
+        gateway.reactor.count_round();
         if !gateway.reactor.has_scheduled_flushes() && !gateway.resume_clients() {
             return;
         }
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use slog::Logger;
 use std::collections::BTreeMap;
+use std::time::Duration;
 use wellcrank::port::AttemptOutcome;
 
 /// The counts of events since the latest report.
@@ -22,6 +23,10 @@
     /// Attempts that were given up before their first byte was written, because the request no longer awaited an answer,
     /// the endpoint could get no further attempts or the time for the attempt had passed.
     pub(crate) lapsed_attempts: u64,
+    /// Commands of clients that were handled, valid or not.
+    client_commands: u64,
+    /// The duration of the longest event loop iteration.
+    longest_iteration: Duration,
     /// Finished attempts by outcome.
     attempts: BTreeMap<&'static str, u64>,
 }
@@ -57,6 +62,12 @@
         *self.attempts.entry(outcome_name(outcome)).or_default() += 1;
     }
 
+    /// Records an event loop iteration of this duration in which this many commands of clients were handled.
+    pub(crate) fn record_iteration(&mut self, duration: Duration, client_commands: u64) {
+        self.longest_iteration = self.longest_iteration.max(duration);
+        self.client_commands += client_commands;
+    }
+
     /// Logs the counts and the gauges, and resets the counts.
     pub(crate) fn report(&mut self, log: &Logger, gauges: &Gauges) {
         let counts = std::mem::take(self);
@@ -68,6 +79,8 @@
             "disconnected" => counts.disconnected,
             "malformed_responses" => counts.malformed_responses,
             "lapsed_attempts" => counts.lapsed_attempts,
+            "client_commands" => counts.client_commands,
+            "longest_iteration_ms" => counts.longest_iteration.as_millis(),
             "open_requests" => gauges.open_requests,
             "client_connections" => gauges.client_connections,
             "upstream_connections" => gauges.upstream_connections,
--- a/edge/src/reactor.rs
+++ b/edge/src/reactor.rs
@@ -26,6 +26,19 @@
 /// The size of the buffer that all sockets are read into.
 const SCRATCH_BYTES: usize = 64 * 1024;
 
+/// An event loop iteration that takes longer than this is logged. Deadlines are late by as much, and nobody is served
+/// meanwhile.
+const SLOW_ITERATION: Duration = Duration::from_millis(250);
+
+/// What the present event loop iteration has done so far.
+#[derive(Default)]
+struct IterationWork {
+    /// How often notifications were delivered and connections were flushed.
+    rounds: u64,
+    /// The commands of clients that were handled.
+    client_commands: u64,
+}
+
 /// The state that all components share. Times are durations on the gateway's monotonic clock.
 pub(crate) struct Reactor {
     /// Registers sockets with the poll.
@@ -62,6 +75,7 @@
     buffered_bytes: usize,
     deadlines: DeadlineQueue,
     last_serial: Serial,
+    iteration: IterationWork,
 }
 
 impl Reactor {
@@ -93,6 +107,7 @@
             buffered_bytes: 0,
             deadlines: DeadlineQueue::default(),
             last_serial: 0,
+            iteration: IterationWork::default(),
         }
     }
 
@@ -102,6 +117,31 @@
         self.now = self.clock.now();
         self.polled_at = self.now;
         self.flush_queue.append(&mut self.deferred_flushes);
+        self.iteration = IterationWork::default();
+    }
+
+    /// Ends an event loop iteration: records how long it took, and logs one that took longer than `SLOW_ITERATION`.
+    pub(crate) fn end_iteration(&mut self) {
+        let duration = self.clock.now().saturating_sub(self.polled_at);
+        let IterationWork {
+            rounds,
+            client_commands,
+        } = self.iteration;
+        self.metrics.record_iteration(duration, client_commands);
+        if duration > SLOW_ITERATION {
+            slog::warn!(self.log, "slow event loop iteration"; "took" => ?duration,
+                "rounds" => rounds, "client_commands" => client_commands);
+        }
+    }
+
+    /// Counts a round of delivering notifications and flushing connections in this iteration.
+    pub(crate) fn count_round(&mut self) {
+        self.iteration.rounds += 1;
+    }
+
+    /// Counts a client's command that was handled in this iteration.
+    pub(crate) fn count_client_command(&mut self) {
+        self.iteration.client_commands += 1;
     }
 
     /// Returns a serial number that was not used before.
