Give each client a turn an iteration, so that none that floods keeps the loop from its poll

Cause: finish_iteration resumed paused clients, which reads their sockets, until there was none to resume. A connection that pauses at 80 KiB of answers and has them read at once can always be resumed, so the loop never came back to the poll.

Fix: input is read once an iteration, by turns of 32 commands a connection and 1,024 in all; what is left, a resumed connection, and accepting beyond 64 connections are put off to the next iteration, whose poll does not wait. The end of a client's input may then be behind later turns, so the poll's report of it answers what is open at once; two states of a client became two flags, and a client that has stopped sending pauses like any other.

--- a/edge/src/client.rs
+++ b/edge/src/client.rs
@@ -30,15 +30,9 @@
     Reading,
     /// No input is handled, because the client does not read its answers or has too many commands waiting for theirs.
     Paused,
-    /// No further commands are handled, because the input was not valid RESP2, or because the gateway must answer all
-    /// requests. The connection is closed once all commands are answered.
+    /// No further commands are handled, because the input was not valid RESP2 or has ended, or because the gateway must
+    /// answer all requests. The connection is closed once all commands are answered.
     Closing,
-    /// The client has stopped sending. The complete commands that have arrived are being handled; their requests are
-    /// rejected.
-    HandlingLastCommands,
-    /// The client has stopped sending, and all of its complete commands were handled. It may be gone, so no attempt is
-    /// started for it any more; it may still be reading, so its commands are answered before the connection is closed.
-    PeerClosed,
 }
 
 /// A command that waits for its answer, or for the answers of the commands before it.
@@ -73,6 +67,12 @@
     pub(crate) last_active: Duration,
     /// Whether the client has sent a valid request, or a PING that was answered with PONG.
     pub(crate) has_sent_request: bool,
+    /// Whether the client is known to have stopped sending. What it sent before may still be unread.
+    pub(crate) has_stopped_sending: bool,
+    /// Whether all that the client has sent is read.
+    pub(crate) has_input_ended: bool,
+    /// Whether the connection has used up its turn in this event loop iteration and is read again in the next one.
+    pub(crate) awaits_turn: bool,
     state: ClientState,
 }
 
@@ -86,6 +86,9 @@
             pending_commands: VecDeque::new(),
             last_active: now,
             has_sent_request: false,
+            has_stopped_sending: false,
+            has_input_ended: false,
+            awaits_turn: false,
             state: ClientState::Reading,
         }
     }
@@ -97,15 +100,7 @@
 
     /// Whether no further commands are handled, and the connection is closed once all are answered.
     pub(crate) fn is_closing(&self) -> bool {
-        matches!(self.state, ClientState::Closing | ClientState::PeerClosed)
-    }
-
-    /// Whether the client was noticed to have stopped sending.
-    pub(crate) fn has_peer_closed(&self) -> bool {
-        matches!(
-            self.state,
-            ClientState::HandlingLastCommands | ClientState::PeerClosed
-        )
+        self.state == ClientState::Closing
     }
 
     /// Resumes handling commands, if the connection is paused.
@@ -116,39 +111,32 @@
     }
 
     /// Pauses the connection if too many bytes of answers are unwritten or too many commands wait for their answers.
-    /// Returns whether it was paused. A client that has stopped sending is not paused; its requests are rejected.
+    /// Returns whether it was paused.
     pub(crate) fn pause_if_behind(&mut self) -> bool {
         let is_behind = self.stream.pending_bytes() > resp::MAX_MESSAGE_BYTES
             || self.pending_commands.len() >= MAX_PENDING_COMMANDS;
-        let must_pause = is_behind && !self.has_peer_closed();
-        if must_pause {
+        if is_behind {
             self.state = ClientState::Paused;
         }
-        must_pause
+        is_behind
     }
 
     /// Stops handling commands. The connection is closed once all commands are answered.
     pub(crate) fn stop_reading(&mut self) {
-        self.state = if self.has_peer_closed() {
-            ClientState::PeerClosed
-        } else {
-            ClientState::Closing
-        };
+        self.state = ClientState::Closing;
     }
 
-    /// Records that the client has stopped sending. The complete commands that have arrived are still handled, unless
-    /// the connection is already closing.
-    pub(crate) fn begin_last_commands(&mut self) {
-        self.state = if self.is_closing() {
-            ClientState::PeerClosed
-        } else {
-            ClientState::HandlingLastCommands
-        };
+    /// The requests whose commands wait for their answers, or for the answers of the commands before them.
+    pub(crate) fn open_requests(&self) -> impl Iterator<Item = Serial> + '_ {
+        self.pending_commands
+            .iter()
+            .filter_map(|command| command.request)
     }
 
-    /// Whether all commands are answered, all answers are written and the connection is not paused.
+    /// Whether all commands are answered, all answers are written and no input is left for a later turn.
     pub(crate) fn is_quiescent(&self) -> bool {
-        self.pending_commands.is_empty() && self.stream.pending_bytes() == 0 && !self.is_paused()
+        let has_input_left = self.is_paused() || (self.awaits_turn && !self.is_closing());
+        self.pending_commands.is_empty() && self.stream.pending_bytes() == 0 && !has_input_left
     }
 
     /// Whether the connection is between two requests, as far as the gateway can see, and may therefore be closed while
@@ -261,8 +249,8 @@
         }
     }
 
-    /// Opens the request of the command that was pushed last, and queues it for the controller. With `is_full`, or once
-    /// the client has stopped sending, the controller is to reject it.
+    /// Opens the request of the command that was pushed last, and queues it for the controller. With `is_full`, once the
+    /// client has stopped sending, or while the gateway must answer all requests, the controller is to reject it.
     fn open_request(
         &mut self,
         reactor: &mut Reactor,
@@ -288,7 +276,8 @@
         pending.expect("pushed for this command").request = Some(serial);
         reactor.add_buffered_bytes(command.size());
         requests.insert(serial, OpenRequest::new(command, deadline, slot));
-        let notification = if is_full || self.has_peer_closed() {
+        let is_rejected = is_full || self.has_stopped_sending || reactor.must_answer_now();
+        let notification = if is_rejected {
             Notification::RejectUnadmitted(request.id)
         } else {
             Notification::Request(request)
--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -2,12 +2,13 @@
 //! of each connection in the order of its commands.
 
 mod listener;
+mod turn;
 
 use crate::client::{Client, GatewayStatus, MAX_IDLE};
 use crate::component::Component;
 use crate::lingering::LingeringConnections;
 use crate::notification::Notification;
-use crate::reactor::{Reactor, Serial};
+use crate::reactor::Reactor;
 use crate::readiness::Readiness;
 use crate::requests::{AnswerSlot, OpenRequests};
 use crate::resp::{self, ProtocolError, MAX_MESSAGE_BYTES};
@@ -17,10 +18,14 @@
 use slab::Slab;
 use std::io;
 use std::net::SocketAddr;
+use turn::{InputState, IterationBudget, Turn};
 
 /// By how many connections the budget for clients may be exceeded if lingering connections are included.
 const MAX_LINGERING_BEYOND_BUDGET: usize = 2;
 
+/// How many connections are accepted in one event loop iteration.
+const MAX_ACCEPTS_PER_ITERATION: usize = 64;
+
 /// All connections of clients, and the socket on which they connect.
 pub(crate) struct Clients {
     listener: Listener,
@@ -32,6 +37,7 @@
     may_resume_accept: bool,
     /// The keys of paused connections from which commands may be read again.
     resumable: Vec<usize>,
+    iteration_budget: IterationBudget,
     /// Whether PING is answered with PONG: an endpoint list is known, or the wait for one has exceeded its limit.
     pub(crate) is_ready: bool,
 }
@@ -54,10 +60,16 @@
             is_accept_paused: false,
             may_resume_accept: false,
             resumable: Vec::new(),
+            iteration_budget: IterationBudget::new(),
             is_ready: false,
         })
     }
 
+    /// Starts an event loop iteration.
+    pub(crate) fn begin_iteration(&mut self) {
+        self.iteration_budget = IterationBudget::new();
+    }
+
     /// The number of connections, including lingering ones.
     pub(crate) fn len(&self) -> usize {
         self.connections.len() + self.lingering.len()
@@ -68,11 +80,12 @@
         self.connections.len() >= reactor.budget.clients
     }
 
-    /// Accepts the connections that wait. While the budget is used up, an idle connection is closed for each new one;
-    /// if there is none, accepting is paused and the remaining connections stay in the backlog.
+    /// Accepts the connections that wait, up to `MAX_ACCEPTS_PER_ITERATION`; the others in the next iteration. While the
+    /// budget is used up, an idle connection is closed for each new one; if there is none, accepting is paused and the
+    /// remaining connections stay in the backlog.
     pub(crate) fn accept(&mut self, reactor: &mut Reactor, requests: &mut OpenRequests) {
         self.is_accept_paused = false;
-        loop {
+        for _ in 0..MAX_ACCEPTS_PER_ITERATION {
             let mut evictable = None;
             if self.is_budget_exhausted(reactor) {
                 evictable = self.find_evictable(reactor, requests);
@@ -96,6 +109,7 @@
             }
             self.insert(reactor, socket);
         }
+        reactor.defer_read(Component::Listener.token(0));
     }
 
     fn insert(&mut self, reactor: &mut Reactor, socket: TcpStream) {
@@ -168,14 +182,9 @@
         if readiness.is_broken() {
             return self.close(reactor, key, requests);
         }
-        // The poll reports only once that the client has stopped sending. A connection that is not being read would
-        // otherwise miss it.
-        let is_not_read = self
-            .connections
-            .get(key)
-            .is_some_and(|client| client.is_paused() || client.is_closing());
-        if readiness.has_peer_stopped_sending() && is_not_read {
-            self.on_peer_closed(reactor, key, requests);
+        // The end of the input may be far behind commands that are not read yet.
+        if readiness.has_peer_stopped_sending() {
+            self.expire_open_requests(reactor, key, requests);
         }
         let Some(client) = self.connections.get_mut(key) else {
             return;
@@ -184,50 +193,129 @@
         if client.stream.pending_bytes() > 0 {
             self.flush(reactor, key, requests);
         }
+        self.take_turn(reactor, key, requests);
+    }
+
+    /// Gives a connection the turn that it waits for since the previous iteration.
+    pub(crate) fn take_deferred_turn(
+        &mut self,
+        reactor: &mut Reactor,
+        key: usize,
+        requests: &mut OpenRequests,
+    ) {
+        if let Some(client) = self.connections.get_mut(key) {
+            client.awaits_turn = false;
+            self.take_turn(reactor, key, requests);
+        }
+    }
+
+    /// Gives a connection its turn, unless it waits for one already. Once the commands of this iteration are used up, the
+    /// turn comes in the next one.
+    fn take_turn(&mut self, reactor: &mut Reactor, key: usize, requests: &mut OpenRequests) {
+        let Some(client) = self.connections.get(key) else {
+            return;
+        };
+        if client.awaits_turn {
+            return;
+        }
+        if self.iteration_budget.is_used_up() {
+            return self.defer_turn(reactor, key);
+        }
         self.read_commands(reactor, key, requests);
     }
 
-    /// Handles buffered commands and reads more input, until the socket has none left or the connection is paused or
-    /// closing.
+    /// Puts the next turn of a connection off to the next iteration.
+    fn defer_turn(&mut self, reactor: &mut Reactor, key: usize) {
+        if let Some(client) = self.connections.get_mut(key) {
+            client.awaits_turn = true;
+            reactor.defer_read(Component::Client.token(key));
+        }
+    }
+
+    /// Gives a connection its turn: handles buffered commands and reads more input, until the socket has none left, the
+    /// connection is paused or closing, or the turn is over. In the last case the next turn comes in the next iteration.
     fn read_commands(&mut self, reactor: &mut Reactor, key: usize, requests: &mut OpenRequests) {
-        while self.handle_commands(reactor, key, requests) {
+        let mut turn = self.iteration_budget.begin_turn();
+        let state = self.read_in_turn(reactor, key, requests, &mut turn);
+        self.iteration_budget.end_turn(&turn);
+        if state == InputState::TurnIsOver {
+            self.defer_turn(reactor, key);
+        }
+    }
+
+    /// Handles buffered commands and reads more input. Returns why it has stopped; [`InputState::NeedsMoreBytes`] if the
+    /// socket has no input left for now.
+    fn read_in_turn(
+        &mut self,
+        reactor: &mut Reactor,
+        key: usize,
+        requests: &mut OpenRequests,
+        turn: &mut Turn,
+    ) -> InputState {
+        loop {
+            let state = self.handle_commands(reactor, key, requests, turn);
+            if state != InputState::NeedsMoreBytes {
+                return state;
+            }
             let client = &mut self.connections[key];
+            if client.has_input_ended {
+                self.finish_input(reactor, key, requests);
+                return InputState::Stopped;
+            }
             if client.stream.read_would_block {
-                return;
+                return InputState::NeedsMoreBytes;
             }
-            let was_empty = client.stream.input.is_empty();
-            if !client.stream.read(reactor, MAX_MESSAGE_BYTES) {
-                return self.on_read_end(reactor, key, requests);
+            if !turn.allows_read() {
+                return InputState::TurnIsOver;
             }
-            if was_empty && !client.stream.input.is_empty() {
+            let length_before = client.stream.input.len();
+            let is_open = client.stream.read(reactor, MAX_MESSAGE_BYTES);
+            let received = client.stream.input.len() - length_before;
+            turn.count_bytes(received);
+            if length_before == 0 && received > 0 {
                 client.last_active = reactor.now;
             }
+            if !is_open {
+                self.on_read_end(reactor, key, requests);
+            }
         }
     }
 
     /// Handles the end of a connection's input: the connection failed, or the client has stopped sending.
     fn on_read_end(&mut self, reactor: &mut Reactor, key: usize, requests: &mut OpenRequests) {
-        if self.connections[key].stream.has_failed {
-            self.close(reactor, key, requests);
-        } else {
-            self.on_peer_closed(reactor, key, requests);
+        let client = &mut self.connections[key];
+        if client.stream.has_failed {
+            return self.close(reactor, key, requests);
         }
+        client.has_input_ended = true;
+        self.expire_open_requests(reactor, key, requests);
     }
 
-    /// Handles the complete commands in the input buffer. Returns false if no more input should be read for now.
+    /// Called once all commands are handled of a client that has stopped sending. Closes the connection after the last
+    /// answer.
+    fn finish_input(&mut self, reactor: &mut Reactor, key: usize, requests: &mut OpenRequests) {
+        let client = &mut self.connections[key];
+        client.stop_reading();
+        if client.is_quiescent() {
+            self.close_gracefully(reactor, key, requests);
+        }
+    }
+
+    /// Handles complete commands in the input buffer, as many as the turn allows. Returns why no more are handled.
     fn handle_commands(
         &mut self,
         reactor: &mut Reactor,
         key: usize,
         requests: &mut OpenRequests,
-    ) -> bool {
+        turn: &mut Turn,
+    ) -> InputState {
         let Some(client) = self.connections.get_mut(key) else {
-            return false;
+            return InputState::Stopped;
         };
         client.resume();
         let input = std::mem::take(&mut client.stream.input);
         let mut consumed = 0;
-        while !client.is_closing() && consumed < input.len() {
+        while !client.is_closing() && consumed < input.len() && turn.allows_command() {
             let bytes = &input[consumed..];
             match resp::parse_command(bytes) {
                 // An incomplete command may still grow up to the maximum size.
@@ -248,51 +336,42 @@
                     let command = &bytes[..length];
                     client.handle_command(reactor, key, command, words, requests, gateway);
                     consumed += length;
+                    turn.count_command();
                     client.last_active = reactor.now;
                 }
             }
         }
         client.stream.input = input;
         client.stream.consume(reactor, consumed);
-        !client.is_closing() && !client.is_paused()
+        if client.is_closing() || client.is_paused() {
+            InputState::Stopped
+        } else if !turn.allows_command() {
+            InputState::TurnIsOver
+        } else {
+            InputState::NeedsMoreBytes
+        }
     }
 
-    /// Handles a client that has stopped sending: the complete commands in the buffer are handled, with their requests
-    /// rejected; open requests are answered now instead of being attempted further; and the connection is closed after
-    /// the last answer.
-    fn on_peer_closed(&mut self, reactor: &mut Reactor, key: usize, requests: &mut OpenRequests) {
-        let Some(open) = self.begin_last_commands(key) else {
-            return;
-        };
-        self.handle_commands(reactor, key, requests);
+    /// Called when a client has stopped sending. It may be gone, so its open requests are answered now instead of being
+    /// attempted further, and requests that are still to be read are rejected. It may still read its answers.
+    fn expire_open_requests(
+        &mut self,
+        reactor: &mut Reactor,
+        key: usize,
+        requests: &mut OpenRequests,
+    ) {
         let Some(client) = self.connections.get_mut(key) else {
             return;
         };
-        client.stop_reading();
-        reactor.metrics.disconnected += open.len() as u64;
-        let unanswered = open
-            .into_iter()
-            .filter_map(|request| requests.mark_client_left(request));
-        for request in unanswered {
-            reactor.notify(Notification::ExpireRequest(request));
-        }
-        if client.is_quiescent() {
-            self.close_gracefully(reactor, key, requests);
+        client.has_stopped_sending = true;
+        for request in client.open_requests() {
+            if let Some(request) = requests.mark_client_left(request) {
+                reactor.metrics.disconnected += 1;
+                reactor.notify(Notification::ExpireRequest(request));
+            }
         }
     }
 
-    /// Puts a connection into the state in which its last commands are handled. Returns the requests that were open
-    /// before; `None` if the connection is closed or its client was already known to have stopped sending.
-    fn begin_last_commands(&mut self, key: usize) -> Option<Vec<Serial>> {
-        let client = self
-            .connections
-            .get_mut(key)
-            .filter(|client| !client.has_peer_closed())?;
-        client.begin_last_commands();
-        let pending = client.pending_commands.iter();
-        Some(pending.filter_map(|command| command.request).collect())
-    }
-
     /// Answers a command. The answer is queued for writing once all commands before it are answered; it is dropped if
     /// the connection is closed.
     pub(crate) fn answer(
@@ -380,25 +459,16 @@
         Some(client)
     }
 
-    /// Resumes accepting, or else the paused connections that an answer or a write may have unblocked. Accepting is
-    /// resumed only here: it may close a connection, which must not accept recursively. Returns whether there was
-    /// anything to resume.
-    pub(crate) fn resume_paused(
-        &mut self,
-        reactor: &mut Reactor,
-        requests: &mut OpenRequests,
-    ) -> bool {
+    /// Resumes accepting, and the paused connections that an answer or a write may have unblocked, in the next iteration.
+    pub(crate) fn resume_paused(&mut self, reactor: &mut Reactor) {
         if std::mem::take(&mut self.may_resume_accept) && self.is_accept_paused {
-            self.accept(reactor, requests);
-            return true;
+            reactor.defer_read(Component::Listener.token(0));
         }
-        let keys = std::mem::take(&mut self.resumable);
-        for key in &keys {
-            if self.connections.get(*key).is_some_and(Client::is_paused) {
-                self.read_commands(reactor, *key, requests);
+        for key in std::mem::take(&mut self.resumable) {
+            if self.connections.get(key).is_some_and(Client::is_paused) {
+                self.defer_turn(reactor, key);
             }
         }
-        !keys.is_empty()
     }
 
     /// Called at each tick. Closes connections whose clients have sent no request, or have left a command incomplete,
@@ -491,7 +561,7 @@
                 self.read_unreported_input(reactor, key, requests);
             }
             if let Some(client) = self.connections.get_mut(key) {
-                if !client.is_paused() {
+                if !client.is_paused() && !client.awaits_turn {
                     client.stop_reading();
                 }
             }
--- a/edge/src/event_loop.rs
+++ b/edge/src/event_loop.rs
@@ -44,9 +44,13 @@
     }
 }
 
-/// Passes each event, and then each expired deadline, to its component.
+/// Has the sockets read whose input the previous iteration has left, and passes each event, and then each expired
+/// deadline, to its component.
 fn handle_events(gateway: &mut Gateway, events: &Events) {
-    gateway.reactor.begin_iteration();
+    gateway.begin_iteration();
+    for token in gateway.reactor.take_deferred_reads() {
+        gateway.on_deferred_read(token);
+    }
     for event in events {
         gateway.on_readiness(event.token(), Readiness::from(event));
     }
@@ -55,14 +59,16 @@
     }
 }
 
-/// Delivers notifications, resumes paused clients and writes queued output, until nothing of this is left to do.
+/// Delivers notifications and writes queued output, until nothing of this is left to do. Input is read only in the next
+/// iteration, also of clients that may be resumed: a client that sends without a pause would otherwise keep the loop from
+/// its next poll for ever.
 fn finish_iteration(gateway: &RefCell<Gateway>, controller: &mut AdmissionController) {
     loop {
         deliver_notifications(gateway, controller);
         let mut gateway = gateway.borrow_mut();
         gateway.reactor.count_round();
-        if !gateway.reactor.has_scheduled_flushes() && !gateway.resume_clients() {
-            return;
+        if !gateway.reactor.has_scheduled_flushes() {
+            return gateway.resume_clients();
         }
         gateway.flush_connections();
     }
--- a/edge/src/gateway.rs
+++ b/edge/src/gateway.rs
@@ -101,6 +101,23 @@
         slog::info!(self.reactor.log, "serving"; "listen" => %config.listen, "budget" => ?self.reactor.budget);
     }
 
+    /// Starts an event loop iteration.
+    pub(crate) fn begin_iteration(&mut self) {
+        self.reactor.begin_iteration();
+        self.clients.begin_iteration();
+    }
+
+    /// Has the component that owns a socket read the input that it left in the previous iteration.
+    pub(crate) fn on_deferred_read(&mut self, token: Token) {
+        match Component::from_token(token) {
+            (Component::Client, key) => {
+                self.clients
+                    .take_deferred_turn(&mut self.reactor, key, &mut self.requests);
+            }
+            _ => self.on_readiness(token, Readiness::READABLE),
+        }
+    }
+
     /// Passes a readiness event to the component that owns the socket.
     pub(crate) fn on_readiness(&mut self, token: Token, readiness: Readiness) {
         let Gateway {
@@ -325,10 +342,9 @@
         }
     }
 
-    /// Resumes paused client connections, and accepting. Returns whether there was anything to resume.
-    pub(crate) fn resume_clients(&mut self) -> bool {
-        self.clients
-            .resume_paused(&mut self.reactor, &mut self.requests)
+    /// Resumes paused client connections, and accepting, in the next iteration.
+    pub(crate) fn resume_clients(&mut self) {
+        self.clients.resume_paused(&mut self.reactor);
     }
 
     /// Whether a request is open, without an answer, and its client has not stopped sending.
--- a/edge/src/reactor.rs
+++ b/edge/src/reactor.rs
@@ -10,7 +10,7 @@
 use crate::shutdown::GracefulShutdown;
 use mio::{Registry, Token};
 use slog::Logger;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use wellcrank::settings::Settings;
@@ -72,6 +72,10 @@
     flush_queue: Vec<Token>,
     /// The connections to flush at the end of the next iteration.
     deferred_flushes: Vec<Token>,
+    /// The sockets that are read again in the next iteration, in the order in which this was asked for.
+    deferred_reads: Vec<Token>,
+    /// The tokens in `deferred_reads`.
+    deferred_read_tokens: BTreeSet<Token>,
     buffered_bytes: usize,
     deadlines: DeadlineQueue,
     last_serial: Serial,
@@ -104,6 +108,8 @@
             notifications: VecDeque::new(),
             flush_queue: Vec::new(),
             deferred_flushes: Vec::new(),
+            deferred_reads: Vec::new(),
+            deferred_read_tokens: BTreeSet::new(),
             buffered_bytes: 0,
             deadlines: DeadlineQueue::default(),
             last_serial: 0,
@@ -172,6 +178,20 @@
         self.deferred_flushes.push(token);
     }
 
+    /// Has a socket read again in the next iteration, whose poll does not wait. A component that has taken its share of
+    /// an iteration calls this where its socket may hold more: the poll reports a socket only when further input arrives.
+    pub(crate) fn defer_read(&mut self, token: Token) {
+        if self.deferred_read_tokens.insert(token) {
+            self.deferred_reads.push(token);
+        }
+    }
+
+    /// Takes the tokens of the sockets to read again in this iteration.
+    pub(crate) fn take_deferred_reads(&mut self) -> Vec<Token> {
+        self.deferred_read_tokens.clear();
+        std::mem::take(&mut self.deferred_reads)
+    }
+
     /// Whether any connection is to be flushed in this iteration.
     pub(crate) fn has_scheduled_flushes(&self) -> bool {
         !self.flush_queue.is_empty()
@@ -200,7 +220,7 @@
 
     /// How long the poll may wait for events; `None` if it may wait until one arrives.
     pub(crate) fn poll_timeout(&self) -> Option<Duration> {
-        if !self.deferred_flushes.is_empty() {
+        if !self.deferred_flushes.is_empty() || !self.deferred_reads.is_empty() {
             return Some(Duration::ZERO);
         }
         let due_at = self.deadlines.earliest()?;
--- a/edge/src/readiness.rs
+++ b/edge/src/readiness.rs
@@ -25,6 +25,15 @@
 }
 
 impl Readiness {
+    /// A socket that may be read.
+    pub(crate) const READABLE: Readiness = Readiness {
+        readable: true,
+        writable: false,
+        read_closed: false,
+        write_closed: false,
+        error: false,
+    };
+
     /// Returns whether the socket accepts bytes, or the attempt to connect it has succeeded or failed.
     pub(crate) fn is_writable(self) -> bool {
         self.writable
--- a/edge/tests/gateway_scenario/mod.rs
+++ b/edge/tests/gateway_scenario/mod.rs
@@ -13,8 +13,8 @@
     Step,
 };
 use stand_ins::{
-    connect_burst, Clients, FakeAppServers, FakeCounter, FakeDiscovery, ListeningServer,
-    LoopbackHost,
+    connect_burst, BackgroundClients, Clients, FakeAppServers, FakeCounter, FakeDiscovery,
+    ListeningServer, LoopbackHost,
 };
 use std::thread::sleep;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -32,6 +32,7 @@
     gateway: GatewayProcess,
     servers: FakeAppServers,
     clients: Clients,
+    background_clients: BackgroundClients,
     counter: FakeCounter,
     discovery: FakeDiscovery,
     /// The listeners of the counter and of discovery that the gateway's configuration names.
@@ -52,6 +53,7 @@
             gateway: GatewayProcess::new(name),
             servers: FakeAppServers::new(),
             clients: Clients::default(),
+            background_clients: BackgroundClients::default(),
             counter: FakeCounter::default(),
             discovery: FakeDiscovery::default(),
             service_listeners: Vec::new(),
@@ -296,6 +298,16 @@
                 clients.connect(client, gateway);
             }
             ClientStep::ConnectBurst { count } => connect_burst(gateway, *count),
+            ClientStep::StartFlood {
+                clients: count,
+                bytes,
+            } => {
+                self.background_clients.start_flood(gateway, *count, bytes);
+            }
+            ClientStep::StartCrowd(traffic) => {
+                self.background_clients.start_crowd(gateway, traffic);
+            }
+            ClientStep::DisconnectBackground => self.background_clients.disconnect(),
             ClientStep::Request { client, request } => {
                 clients.send_request(client, gateway, request)
             }
--- a/edge/tests/gateway_scenario/notation/client.rs
+++ b/edge/tests/gateway_scenario/notation/client.rs
@@ -1,7 +1,7 @@
 //! Steps of clients.
 
 use super::{escaped_bytes, named_value, optional_named_value};
-use crate::gateway_scenario::stand_ins::{Received, RequestArguments};
+use crate::gateway_scenario::stand_ins::{CrowdTraffic, Received, RequestArguments};
 use crate::step_arguments::{invalid, Arguments, StepError};
 
 /// What a scenario has one client or many do, or expects a client to receive.
@@ -11,6 +11,12 @@
     Connect { client: String },
     /// Connects this many clients and then disconnects them.
     ConnectBurst { count: usize },
+    /// Clients send these bytes again and again, without a pause.
+    StartFlood { clients: usize, bytes: String },
+    /// The clients of a crowd send what the traffic says.
+    StartCrowd(CrowdTraffic),
+    /// The clients of floods and crowds close their connections.
+    DisconnectBackground,
     /// The client sends a request.
     Request {
         client: String,
@@ -83,6 +89,12 @@
             "connect_burst" => ClientStep::ConnectBurst {
                 count: arguments.value("count")?,
             },
+            "flood" => ClientStep::StartFlood {
+                clients: arguments.value("number of clients")?,
+                bytes: escaped_bytes(arguments)?,
+            },
+            "crowd" => ClientStep::StartCrowd(parse_crowd(arguments)?),
+            "background_clients_disconnect" => ClientStep::DisconnectBackground,
             "connect" => ClientStep::Connect {
                 client: arguments.value("client")?,
             },
@@ -118,6 +130,16 @@
     }
 }
 
+fn parse_crowd(arguments: &mut Arguments) -> Result<CrowdTraffic, StepError> {
+    Ok(CrowdTraffic {
+        clients: arguments.value("number of clients")?,
+        sends_request: named_value(arguments, "request")?,
+        repetitions: named_value(arguments, "repeat")?,
+        partial_body_bytes: named_value(arguments, "partial_body_bytes")?,
+        bytes: escaped_bytes(arguments)?,
+    })
+}
+
 fn parse_request(arguments: &mut Arguments) -> Result<RequestArguments, StepError> {
     Ok(RequestArguments {
         id: parse_request_id(arguments.word("request")?)?,
--- /dev/null
+++ b/edge/tests/gateway_scenario/stand_ins/background_clients.rs
@@ -0,0 +1,128 @@
+//! Clients that send on threads of their own and read whatever they are sent, so that a scenario goes on beside them.
+
+use super::clients::RequestArguments;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
+use std::thread::{spawn, JoinHandle};
+
+/// How many bytes a client of a flood writes at once, at least.
+const FLOOD_WRITE_BYTES: usize = 64 << 10;
+/// The size of the buffer that a client reads into, in bytes.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+/// The first id of the requests that a crowd sends, so that they differ from those that steps name.
+const FIRST_CROWD_REQUEST_ID: u64 = 1 << 40;
+/// How long the clients of a crowd say that they wait for the answers to their requests, in milliseconds.
+const CROWD_TIMEOUT_MS: u64 = 9000;
+/// The size of the body that a client of a crowd announces, in bytes.
+const ANNOUNCED_BODY_BYTES: usize = 65_536;
+
+/// What each client of a crowd sends.
+#[derive(Debug)]
+pub(crate) struct CrowdTraffic {
+    /// The number of clients.
+    pub(crate) clients: usize,
+    /// Whether each client first sends a valid request.
+    pub(crate) sends_request: bool,
+    /// How often each client sends `bytes`.
+    pub(crate) repetitions: usize,
+    /// How many bytes of the body of an incomplete request follow.
+    pub(crate) partial_body_bytes: usize,
+    /// The bytes that are repeated.
+    pub(crate) bytes: String,
+}
+
+/// All clients of a scenario that send in the background. They are disconnected when this is dropped.
+#[derive(Default)]
+pub(crate) struct BackgroundClients {
+    connections: Vec<Arc<TcpStream>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl BackgroundClients {
+    /// Connects clients that send bytes again and again, without a pause, until [`BackgroundClients::disconnect`].
+    pub(crate) fn start_flood(&mut self, gateway: &str, clients: usize, bytes: &str) {
+        let repetitions = FLOOD_WRITE_BYTES.div_ceil(bytes.len());
+        let chunk: Arc<[u8]> = bytes.repeat(repetitions).into_bytes().into();
+        for _ in 0..clients {
+            let connection = self.connect(gateway);
+            let chunk = chunk.clone();
+            self.threads.push(spawn(
+                move || {
+                    while (&*connection).write_all(&chunk).is_ok() {}
+                },
+            ));
+        }
+    }
+
+    /// Connects the clients of a crowd and then has each of them send its bytes in one piece.
+    pub(crate) fn start_crowd(&mut self, gateway: &str, traffic: &CrowdTraffic) {
+        let connections: Vec<_> = (0..traffic.clients)
+            .map(|_| self.connect(gateway))
+            .collect();
+        for (id, connection) in (FIRST_CROWD_REQUEST_ID..).zip(connections) {
+            let bytes = crowd_bytes(traffic, id);
+            self.threads.push(spawn(move || {
+                // Fails if the gateway closes the connection before it has read everything.
+                let _ = (&*connection).write_all(&bytes);
+            }));
+        }
+    }
+
+    /// Connects a client, and starts to read what it is sent.
+    fn connect(&mut self, gateway: &str) -> Arc<TcpStream> {
+        let connection =
+            TcpStream::connect(gateway).expect("expected the gateway to accept a connection");
+        let connection = Arc::new(connection);
+        let input = connection.clone();
+        self.threads.push(spawn(move || {
+            let mut buffer = vec![0; READ_BUFFER_BYTES];
+            while (&*input).read(&mut buffer).is_ok_and(|count| count > 0) {}
+        }));
+        self.connections.push(connection.clone());
+        connection
+    }
+
+    /// Disconnects all clients and waits until they have stopped.
+    pub(crate) fn disconnect(&mut self) {
+        for connection in self.connections.drain(..) {
+            // Fails if the gateway has closed the connection.
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for BackgroundClients {
+    fn drop(&mut self) {
+        self.disconnect();
+    }
+}
+
+/// Returns what one client of a crowd sends. `id` is the id of its request.
+fn crowd_bytes(traffic: &CrowdTraffic, id: u64) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    if traffic.sends_request {
+        bytes.extend(crowd_request(id, "read", None).into_bytes());
+    }
+    bytes.extend(traffic.bytes.repeat(traffic.repetitions).into_bytes());
+    if traffic.partial_body_bytes > 0 {
+        let whole = crowd_request(id, "order", Some(ANNOUNCED_BODY_BYTES)).into_bytes();
+        let missing_bytes = ANNOUNCED_BODY_BYTES + "\r\n".len() - traffic.partial_body_bytes;
+        bytes.extend(&whole[..whole.len() - missing_bytes]);
+    }
+    bytes
+}
+
+fn crowd_request(id: u64, route: &str, body_bytes: Option<usize>) -> String {
+    let request = RequestArguments {
+        id: format!("{id:x}"),
+        route: route.to_string(),
+        plan: "wide".to_string(),
+        timeout_ms: CROWD_TIMEOUT_MS.to_string(),
+        body_bytes,
+    };
+    request.command()
+}
--- a/edge/tests/gateway_scenario/stand_ins/clients.rs
+++ b/edge/tests/gateway_scenario/stand_ins/clients.rs
@@ -31,7 +31,8 @@
 }
 
 impl RequestArguments {
-    fn command(&self) -> String {
+    /// Returns the command of the request as RESP2.
+    pub(super) fn command(&self) -> String {
         let id = format!("{:0>16}", self.id);
         let fields = format!(
             "c={},t={},d={},k=5,units=1,spread=1,first=0",
--- a/edge/tests/gateway_scenario/stand_ins/mod.rs
+++ b/edge/tests/gateway_scenario/stand_ins/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for everything that the gateway under test talks to, on loopback sockets.
 
 mod app_servers;
+mod background_clients;
 mod clients;
 mod counter;
 mod discovery;
@@ -8,6 +9,7 @@
 mod resp;
 
 pub(crate) use app_servers::FakeAppServers;
+pub(crate) use background_clients::{BackgroundClients, CrowdTraffic};
 pub(crate) use clients::{connect_burst, Clients, RequestArguments};
 pub(crate) use counter::{CounterMode, FakeCounter};
 pub(crate) use discovery::{DiscoveryMode, EndpointState, FakeDiscovery, ScriptedResponse};
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -73,6 +73,12 @@
 //!
 //! ```text
 //! connect client1                 connects client1
+//! flood 3 BYTES                   from now on 3 clients send BYTES again and again, without a pause, and read whatever
+//!                                 they are sent
+//! crowd 220 request=true repeat=900 partial_body_bytes=65000 BYTES  220 clients connect; then each sends a request of
+//!                                 its own, 900 times BYTES and the beginning of a request with 65,000 bytes of its
+//!                                 body, all at once, and reads whatever it is sent
+//! background_clients_disconnect   the clients of floods and crowds close their connections
 //! connect_burst 300               connects 300 clients at once and then disconnects them
 //! request client1 r1 read capped timeout_ms=9000 [body_bytes=60000]  client1 sends request r1 on the route 'read' with
 //!                                 the plan 'capped', and states how long it waits
