--- a/edge/src/peers.rs
+++ b/edge/src/peers.rs
@@ -11,6 +11,10 @@
 /// The maximum size of a datagram that is sent, in bytes. Larger ones are dropped.
 const MAX_DATAGRAM_BYTES: usize = 256;
 
+/// How many datagrams are read in one event loop iteration. The others are read in the next one, so that a flood of
+/// datagrams keeps the gateway from nothing else.
+const MAX_DATAGRAMS_PER_ITERATION: usize = 64;
+
 /// The datagram socket and the addresses of the other gateways. Without a socket, nothing is sent.
 #[derive(Default)]
 pub(crate) struct Peers {
@@ -56,10 +60,18 @@
         }
     }
 
-    /// Reads and drops all datagrams that have arrived.
+    /// Reads and drops the datagrams that have arrived, up to `MAX_DATAGRAMS_PER_ITERATION`; the others in the next
+    /// iteration.
     pub(crate) fn discard_incoming(&mut self, reactor: &mut Reactor) {
-        if let Some(socket) = &self.socket {
-            while socket.recv_from(&mut reactor.scratch).is_ok() {}
+        let Some(socket) = &self.socket else { return };
+        for _ in 0..MAX_DATAGRAMS_PER_ITERATION {
+            if socket.recv_from(&mut reactor.scratch).is_err() {
+                return;
+            }
         }
+        reactor.defer_read(Component::Peers.token(0));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/edge/src/reactor.rs
+++ b/edge/src/reactor.rs
@@ -286,3 +286,6 @@
         self.buffered_bytes = self.buffered_bytes.saturating_sub(bytes);
     }
 }
+
+#[cfg(test)]
+pub(crate) mod tests;
