--- a/edge/src/peers/tests.rs
+++ b/edge/src/peers/tests.rs
@@ -29,7 +29,7 @@
         assert!(iterations < DATAGRAMS, "the socket is never empty");
     }
     assert_eq!(iterations, 3);
-    let socket = peers.socket.as_ref().expect("an open socket");
-    let rest = socket.recv_from(&mut reactor.scratch);
+    let drained = peers.socket.as_ref().expect("an open socket");
+    let rest = drained.recv_from(&mut reactor.scratch);
     assert!(rest.is_err(), "a datagram is left: {rest:?}");
 }
