Discard written output while more is pending, so that a slow reader's buffer stays small

BufferedStream::flush gave written bytes back only once the whole output was written: a peer that reads a little slower than it is written to made the buffer grow by all that was ever sent, while the pause of its connection goes by what is pending. The invariant that a partly written output is never dropped has a flag of its own in place of the count.

--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -40,10 +40,12 @@
     pub(crate) has_failed: bool,
     /// The bytes that were read and not consumed yet.
     pub(crate) input: Vec<u8>,
-    /// The queued bytes, including those that are written already.
+    /// The queued bytes, including some that are written already.
     output: Vec<u8>,
     /// How many bytes at the front of `output` are written.
     written_bytes: usize,
+    /// Whether a part of the output was written, and another part not yet.
+    is_partly_written: bool,
     /// Whether a flush is scheduled for the end of the event loop iteration.
     is_flush_scheduled: bool,
 }
@@ -116,6 +118,7 @@
             input: Vec::new(),
             output: Vec::new(),
             written_bytes: 0,
+            is_partly_written: false,
             is_flush_scheduled: false,
         }
     }
@@ -179,7 +182,7 @@
     pub(crate) fn clear_queue(&mut self, reactor: &mut Reactor) {
         invariant!(
             reactor,
-            self.written_bytes == 0,
+            !self.is_partly_written,
             "queued output is discarded only while none of it is written"
         );
         reactor.release_buffered_bytes(self.output.len());
@@ -212,12 +215,26 @@
         }
         let has_progressed = self.written_bytes > written_bytes_before;
         self.is_connected |= has_progressed;
+        self.is_partly_written =
+            (self.is_partly_written || has_progressed) && self.pending_bytes() > 0;
+        self.discard_written(reactor);
+        Ok(has_progressed)
+    }
+
+    /// Discards the written bytes, once they are at least half of the output, so that moving the others to the front takes
+    /// no longer than writing them.
+    fn discard_written(&mut self, reactor: &mut Reactor) {
+        if self.pending_bytes() > self.written_bytes {
+            return;
+        }
+        reactor.release_buffered_bytes(self.written_bytes);
         if self.pending_bytes() == 0 {
-            reactor.release_buffered_bytes(self.output.len());
             clear_buffer(&mut self.output);
-            self.written_bytes = 0;
+        } else {
+            self.output.drain(..self.written_bytes);
+            shrink_buffer(&mut self.output);
         }
-        Ok(has_progressed)
+        self.written_bytes = 0;
     }
 
     /// Reads until the socket is empty or the input holds `max_input_bytes`. Returns false once the other side has
@@ -344,3 +361,6 @@
     }
     buffer.clear();
 }
+
+#[cfg(test)]
+mod tests;
