Read a response of discovery in parts, join its chunks once and let it take an eighth of the memory

A response could take all of the memory for buffers (half), all that had arrived was read in one iteration, and the chunks of an incomplete one were copied anew with each part. Now a response may take a quarter of the buffers' memory (4 MiB at least, as before), chunks are joined when the last one has come, and 256 KiB are read in an iteration.

--- a/edge/src/discovery/follower.rs
+++ b/edge/src/discovery/follower.rs
@@ -21,6 +21,13 @@
 /// 1,024 endpoints.
 pub(super) const MIN_RESPONSE_LIMIT_BYTES: usize = 4 << 20;
 
+/// The part of the memory for buffers that a response may take: one in so many.
+const RESPONSE_SHARE_OF_BUFFERS: usize = 4;
+
+/// How many bytes of a response are read in one event loop iteration. The others are read in the next one, so that a long
+/// response keeps the gateway from nothing else.
+const MAX_BYTES_PER_ITERATION: usize = 256 << 10;
+
 /// The connection to discovery, which carries one call at a time.
 struct Connection {
     stream: BufferedStream,
@@ -78,6 +85,12 @@
     }
 }
 
+/// Returns how many bytes a response may have. Its joined chunks and its decoded entries take as much again each.
+fn max_response_bytes(reactor: &Reactor) -> usize {
+    let share = reactor.budget.bytes / RESPONSE_SHARE_OF_BUFFERS;
+    share.max(MIN_RESPONSE_LIMIT_BYTES)
+}
+
 impl DiscoveryFollower {
     /// Returns a follower of discovery at `address`. `revision` is that of the endpoint list in the gateway's
     /// configuration, if there is one. The first call is made after [`DiscoveryFollower::follow`].
@@ -297,8 +310,13 @@
             self.flush(reactor, key);
         }
         let stream = &mut self.connection.as_mut()?.stream;
-        let max_size = reactor.budget.bytes.max(MIN_RESPONSE_LIMIT_BYTES);
-        let is_open = stream.read(reactor, max_size);
+        let max_size = max_response_bytes(reactor);
+        let max_size_now = max_size.min(stream.input.len() + MAX_BYTES_PER_ITERATION);
+        stream.read_would_block = false;
+        let is_open = stream.read(reactor, max_size_now);
+        if is_open && !stream.read_would_block {
+            reactor.defer_read(Component::Discovery.token(key));
+        }
         let is_closed = !is_open && !stream.has_failed;
         let response = match decode_response(&stream.input, is_closed, max_size) {
             Ok(response) => response,
@@ -426,3 +444,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/edge/src/discovery/http.rs
+++ b/edge/src/discovery/http.rs
@@ -113,36 +113,58 @@
     }))
 }
 
-/// Joins the chunks that begin at `start`, up to the empty last one. Returns `None` if they are incomplete.
+/// Joins the chunks that begin at `start`, up to the empty last one. Returns `None` if they are incomplete; nothing is
+/// copied before they are complete.
 fn parse_chunks(
     bytes: &[u8],
     start: usize,
     max_size: usize,
 ) -> Result<Option<ResponseBody<'_>>, ResponseError> {
-    let mut body = Vec::new();
     let mut next = start;
+    let mut content_size = 0;
     loop {
-        let parsed =
-            httparse::parse_chunk_size(&bytes[next..]).map_err(ResponseError::ChunkSize)?;
-        let httparse::Status::Complete((head_size, length)) = parsed else {
+        let Some((data, end)) = parse_chunk(bytes, next, max_size)? else {
             return Ok(None);
         };
-        let data_start = next + head_size;
-        let chunk_end = chunk_end(data_start, length)
-            .filter(|end| *end <= max_size)
-            .ok_or(ResponseError::TooLong { max_size })?;
-        if bytes.len() < chunk_end {
-            return Ok(None);
+        content_size += data.len();
+        next = end;
+        if data.is_empty() {
+            break;
         }
-        body.extend_from_slice(&bytes[data_start..chunk_end - CHUNK_TERMINATOR_BYTES]);
-        next = chunk_end;
-        if length == 0 {
-            return Ok(Some(ResponseBody {
-                content: Cow::Owned(body),
-                response_size: next,
-            }));
+    }
+    let response_size = next;
+    let mut content = Vec::with_capacity(content_size);
+    next = start;
+    while let Some((data, end)) = parse_chunk(bytes, next, max_size)? {
+        if data.is_empty() {
+            break;
         }
+        content.extend_from_slice(data);
+        next = end;
     }
+    Ok(Some(ResponseBody {
+        content: Cow::Owned(content),
+        response_size,
+    }))
+}
+
+/// Returns the data of the chunk that begins at `start` and the offset after it, or `None` if it is incomplete. The data
+/// of the last chunk is empty.
+fn parse_chunk(
+    bytes: &[u8],
+    start: usize,
+    max_size: usize,
+) -> Result<Option<(&[u8], usize)>, ResponseError> {
+    let parsed = httparse::parse_chunk_size(&bytes[start..]).map_err(ResponseError::ChunkSize)?;
+    let httparse::Status::Complete((head_size, length)) = parsed else {
+        return Ok(None);
+    };
+    let data_start = start + head_size;
+    let end = chunk_end(data_start, length)
+        .filter(|end| *end <= max_size)
+        .ok_or(ResponseError::TooLong { max_size })?;
+    let data = bytes.get(data_start..end);
+    Ok(data.map(|data| (&data[..data.len() - CHUNK_TERMINATOR_BYTES], end)))
 }
 
 /// Returns the offset after a chunk and its line end, or `None` if it exceeds the range of `usize`.
--- a/edge/tests/gateway_scenario/notation/service.rs
+++ b/edge/tests/gateway_scenario/notation/service.rs
@@ -2,10 +2,13 @@
 
 use super::escaped_bytes;
 use crate::gateway_scenario::stand_ins::{
-    CounterMode, DiscoveryMode, EndpointState, ScriptedResponse,
+    CounterMode, DiscoveryMode, EndpointState, ResponseEnd, ScriptedResponse,
 };
 use crate::step_arguments::{invalid, parse_value, Arguments, StepError};
 
+/// The head of a response whose body consists of chunks.
+const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 /// What a scenario has the counter do, or expects of its totals.
 #[derive(Debug)]
 pub(crate) enum CounterStep {
@@ -94,11 +97,15 @@
             },
             "sends_bytes" => DiscoveryStep::ScriptResponse(ScriptedResponse {
                 bytes: escaped_bytes(arguments)?,
-                resets: false,
+                end: ResponseEnd::Close,
+            }),
+            "sends_endless_chunks" => DiscoveryStep::ScriptResponse(ScriptedResponse {
+                bytes: CHUNKED_HEAD.to_string(),
+                end: ResponseEnd::EndlessChunks,
             }),
             "sends_bytes_and_resets" => DiscoveryStep::ScriptResponse(ScriptedResponse {
                 bytes: escaped_bytes(arguments)?,
-                resets: true,
+                end: ResponseEnd::Reset,
             }),
             other => return Err(invalid("action of discovery", other)),
         };
--- a/edge/tests/gateway_scenario/stand_ins/discovery.rs
+++ b/edge/tests/gateway_scenario/stand_ins/discovery.rs
@@ -5,7 +5,7 @@
 use socket2::SockRef;
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::{self, Display};
-use std::io::BufReader;
+use std::io::{BufReader, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
@@ -15,6 +15,8 @@
 const CLOSE_CHECK_TIMEOUT: Duration = Duration::from_millis(5);
 /// How long the gateway has to read the bytes that were sent before a reset. A reset would discard unread bytes.
 const RESET_DELAY: Duration = Duration::from_millis(100);
+/// The size of the data of a chunk, in bytes.
+const CHUNK_BYTES: usize = 16 << 10;
 /// The response of an overloaded discovery.
 const REJECTION: &str =
     "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
@@ -57,8 +59,19 @@
 pub(crate) struct ScriptedResponse {
     /// Sent as they are, with the HTTP status line and headers that they may contain.
     pub(crate) bytes: String,
-    /// Whether discovery resets the connection instead of closing it.
-    pub(crate) resets: bool,
+    /// How the response ends.
+    pub(crate) end: ResponseEnd,
+}
+
+/// How a scripted response of discovery ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum ResponseEnd {
+    /// Discovery closes the connection.
+    Close,
+    /// Discovery resets the connection.
+    Reset,
+    /// Discovery sends chunks of spaces until the gateway closes the connection.
+    EndlessChunks,
 }
 
 /// A discovery service that serves at one or more addresses.
@@ -263,9 +276,13 @@
 
     fn send_scripted(&self, connection: &TcpStream, response: &ScriptedResponse) {
         send(connection, &response.bytes);
-        if !response.resets {
-            let _ = connection.shutdown(Shutdown::Both);
-            return;
+        match response.end {
+            ResponseEnd::Close => {
+                let _ = connection.shutdown(Shutdown::Both);
+                return;
+            }
+            ResponseEnd::EndlessChunks => return send_endless_chunks(connection),
+            ResponseEnd::Reset => (),
         }
         sleep(RESET_DELAY);
         SockRef::from(connection)
@@ -298,6 +315,13 @@
     }
 }
 
+/// Sends chunks of spaces, which are valid before a JSON text, until the peer closes the connection.
+fn send_endless_chunks(mut connection: &TcpStream) {
+    let spaces = " ".repeat(CHUNK_BYTES);
+    let chunk = format!("{CHUNK_BYTES:x}\r\n{spaces}\r\n");
+    while connection.write_all(chunk.as_bytes()).is_ok() {}
+}
+
 /// Decrements a count, if it is not zero. Returns whether it did.
 fn take_one(count: &mut usize) -> bool {
     let is_positive = *count > 0;
--- a/edge/tests/gateway_scenario/stand_ins/mod.rs
+++ b/edge/tests/gateway_scenario/stand_ins/mod.rs
@@ -12,7 +12,9 @@
 pub(crate) use background_clients::{BackgroundClients, CrowdTraffic};
 pub(crate) use clients::{connect_burst, Clients, RequestArguments};
 pub(crate) use counter::{CounterMode, FakeCounter};
-pub(crate) use discovery::{DiscoveryMode, EndpointState, FakeDiscovery, ScriptedResponse};
+pub(crate) use discovery::{
+    DiscoveryMode, EndpointState, FakeDiscovery, ResponseEnd, ScriptedResponse,
+};
 pub(crate) use loopback::{ListeningServer, LoopbackHost};
 pub(crate) use resp::Received;
 
--- a/edge/tests/scenarios.rs
+++ b/edge/tests/scenarios.rs
@@ -116,6 +116,8 @@
 //! discovery sends_bytes BYTES     sends BYTES in place of the next response and closes the connection; several such
 //!                                 steps apply to one call each
 //! discovery sends_bytes_and_resets BYTES  the same, but resets the connection
+//! discovery sends_endless_chunks  sends chunks of spaces in place of the next response until the gateway closes the
+//!                                 connection
 //! abandoned_discovery_calls 3     waits until the gateway has abandoned 3 calls, or discovery has closed 3
 //!                                 connections, since the mode was set
 //! only_delta_requests 6           waits until discovery has received 6 calls, and expects that none of them asked for
