Keep connections that had no turn before those that had one, so that every client is read in the end

A connection whose turn was over was put off before those that the iteration's 1,024 commands had not reached, so the same 32 connections had every turn.

--- a/edge/src/clients.rs
+++ b/edge/src/clients.rs
@@ -82,6 +82,11 @@
         self.iteration_budget = IterationBudget::new();
     }
 
+    /// Whether further connections have their turn in the next event loop iteration.
+    pub(crate) fn are_turns_used_up(&self) -> bool {
+        self.iteration_budget.is_used_up()
+    }
+
     /// The number of connections, including lingering ones.
     pub(crate) fn len(&self) -> usize {
         self.connections.len() + self.lingering.len()
--- a/edge/src/clients/input.rs
+++ b/edge/src/clients/input.rs
@@ -36,7 +36,7 @@
         self.take_turn(reactor, key, requests);
     }
 
-    /// Gives a connection the turn that it waits for since the previous iteration.
+    /// Gives a connection the turn that it has waited for since an earlier iteration.
     pub(crate) fn take_deferred_turn(
         &mut self,
         reactor: &mut Reactor,
--- a/edge/src/discovery/follower/tests.rs
+++ b/edge/src/discovery/follower/tests.rs
@@ -24,8 +24,7 @@
 
 /// Returns what is to be done in the next event loop iteration: deferred reads, or else what the poll reports.
 fn next_readiness(poll: &mut Poll, reactor: &mut Reactor) -> Readiness {
-    let deferred = reactor.take_deferred_reads();
-    if !deferred.is_empty() {
+    if reactor.take_deferred_read().is_some() {
         return Readiness::READABLE;
     }
     let mut events = Events::with_capacity(8);
--- a/edge/src/event_loop.rs
+++ b/edge/src/event_loop.rs
@@ -44,13 +44,11 @@
     }
 }
 
-/// Has the sockets read whose input the previous iteration has left, and passes each event, and then each expired
+/// Has sockets read whose input earlier iterations have left, and passes each event, and then each expired
 /// deadline, to its component.
 fn handle_events(gateway: &mut Gateway, events: &Events) {
     gateway.begin_iteration();
-    for token in gateway.reactor.take_deferred_reads() {
-        gateway.on_deferred_read(token);
-    }
+    gateway.read_deferred();
     for event in events {
         gateway.on_readiness(event.token(), Readiness::from(event));
     }
--- a/edge/src/gateway.rs
+++ b/edge/src/gateway.rs
@@ -107,8 +107,21 @@
         self.clients.begin_iteration();
     }
 
-    /// Has the component that owns a socket read the input that it left in the previous iteration.
-    pub(crate) fn on_deferred_read(&mut self, token: Token) {
+    /// Has sockets read whose input earlier iterations have left, the longest wait first. Once the turns of this iteration
+    /// are used up, the others go on waiting, before those that were read.
+    pub(crate) fn read_deferred(&mut self) {
+        for _ in 0..self.reactor.deferred_reads() {
+            if self.clients.are_turns_used_up() {
+                return;
+            }
+            if let Some(token) = self.reactor.take_deferred_read() {
+                self.on_deferred_read(token);
+            }
+        }
+    }
+
+    /// Has the component that owns a socket read the input that it left in an earlier iteration.
+    fn on_deferred_read(&mut self, token: Token) {
         match Component::from_token(token) {
             (Component::Client, key) => {
                 self.clients
--- a/edge/src/peers/tests.rs
+++ b/edge/src/peers/tests.rs
@@ -23,7 +23,7 @@
     loop {
         peers.discard_incoming(&mut reactor);
         iterations += 1;
-        if reactor.take_deferred_reads().is_empty() {
+        if reactor.take_deferred_read().is_none() {
             break;
         }
         assert!(iterations < DATAGRAMS, "the socket is never empty");
--- a/edge/src/reactor.rs
+++ b/edge/src/reactor.rs
@@ -72,8 +72,8 @@
     flush_queue: Vec<Token>,
     /// The connections to flush at the end of the next iteration.
     deferred_flushes: Vec<Token>,
-    /// The sockets that are read again in the next iteration, in the order in which this was asked for.
-    deferred_reads: Vec<Token>,
+    /// The sockets that are read again in a later iteration, in the order in which this was asked for.
+    deferred_reads: VecDeque<Token>,
     /// The tokens in `deferred_reads`.
     deferred_read_tokens: BTreeSet<Token>,
     buffered_bytes: usize,
@@ -108,7 +108,7 @@
             notifications: VecDeque::new(),
             flush_queue: Vec::new(),
             deferred_flushes: Vec::new(),
-            deferred_reads: Vec::new(),
+            deferred_reads: VecDeque::new(),
             deferred_read_tokens: BTreeSet::new(),
             buffered_bytes: 0,
             deadlines: DeadlineQueue::default(),
@@ -178,18 +178,25 @@
         self.deferred_flushes.push(token);
     }
 
-    /// Has a socket read again in the next iteration, whose poll does not wait. A component that has taken its share of
-    /// an iteration calls this where its socket may hold more: the poll reports a socket only when further input arrives.
+    /// Has a socket read again in a later iteration, behind those that wait already. Polls do not wait until then. A
+    /// component that has taken its share of an iteration calls this where its socket may hold more: the poll reports a
+    /// socket only when further input arrives.
     pub(crate) fn defer_read(&mut self, token: Token) {
         if self.deferred_read_tokens.insert(token) {
-            self.deferred_reads.push(token);
+            self.deferred_reads.push_back(token);
         }
     }
 
-    /// Takes the tokens of the sockets to read again in this iteration.
-    pub(crate) fn take_deferred_reads(&mut self) -> Vec<Token> {
-        self.deferred_read_tokens.clear();
-        std::mem::take(&mut self.deferred_reads)
+    /// The number of sockets that wait to be read again.
+    pub(crate) fn deferred_reads(&self) -> usize {
+        self.deferred_reads.len()
+    }
+
+    /// Takes the token of the socket that has waited longest to be read again.
+    pub(crate) fn take_deferred_read(&mut self) -> Option<Token> {
+        let token = self.deferred_reads.pop_front()?;
+        self.deferred_read_tokens.remove(&token);
+        Some(token)
     }
 
     /// Whether any connection is to be flushed in this iteration.
--- a/edge/src/reactor/tests.rs
+++ b/edge/src/reactor/tests.rs
@@ -22,9 +22,12 @@
     }
     // The poll does not wait for events while reads are left to do.
     assert_eq!(reactor.poll_timeout(), Some(Duration::ZERO));
-    assert_eq!(reactor.take_deferred_reads(), tokens);
-    assert!(reactor.take_deferred_reads().is_empty());
-    assert_eq!(reactor.poll_timeout(), None);
+    assert_eq!(reactor.deferred_reads(), tokens.len());
+    // One that is put off again comes behind those that have waited longer.
+    assert_eq!(reactor.take_deferred_read(), Some(tokens[0]));
     reactor.defer_read(tokens[0]);
-    assert_eq!(reactor.take_deferred_reads(), [tokens[0]]);
+    let order = [tokens[1], tokens[2], tokens[0]];
+    assert_eq!(order.map(|_| reactor.take_deferred_read()), order.map(Some));
+    assert_eq!(reactor.take_deferred_read(), None);
+    assert_eq!(reactor.poll_timeout(), None);
 }
