Fault injection: wait through epoll_pwait, which every kind of machine has

Change: epoll_wait of the library calls epoll_pwait without a signal mask, which is the same call and has a number on x86-64 and on arm64. Nothing else.

--- a/fault-injection/src/lib.rs
+++ b/fault-injection/src/lib.rs
@@ -157,7 +157,8 @@
     unsafe { libc::syscall(libc::SYS_epoll_ctl, poll, operation, descriptor, event) as c_int }
 }
 
-/// Waits for events of an epoll instance, unless the call must fail.
+/// Waits for events of an epoll instance, unless the call must fail. The call is epoll_pwait without a signal mask,
+/// which is the same and, unlike epoll_wait, has a number on every kind of machine.
 ///
 /// # Safety
 /// The caller keeps the contract of epoll_wait(2).
@@ -168,13 +169,17 @@
     max_events: c_int,
     timeout_milliseconds: c_int,
 ) -> c_int {
+    let no_signal_mask = std::ptr::null::<c_void>();
+    let unused_mask_size: size_t = 0;
     call_or_fail!(
         SystemCall::PollWait,
-        libc::SYS_epoll_wait,
+        libc::SYS_epoll_pwait,
         poll,
         events,
         max_events,
-        timeout_milliseconds
+        timeout_milliseconds,
+        no_signal_mask,
+        unused_mask_size
     )
 }
 
