--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -66,20 +66,12 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
 }
 
-/// A temporary folder that is removed at the end.
+/// The temporary folder that the script made; the script removes it.
 pub struct Folder(pub PathBuf);
 
 impl Folder {
     pub fn new() -> Folder {
-        let path = std::env::temp_dir().join(format!("review-2-{}-{}", std::process::id(), unix_ms()));
-        std::fs::create_dir_all(&path).unwrap();
-        Folder(path)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
+        Folder(PathBuf::from(std::env::var("CASE_TMP").expect("CASE_TMP is set by run.sh")))
     }
 }
 
@@ -88,6 +80,8 @@
     pub child: Child,
     pub listen: SocketAddr,
     pub config: PathBuf,
+    /// Holds the process's id as long as it may run, so that the script ends it if this program is ended early.
+    pid_file: PathBuf,
 }
 
 impl Gateway {
@@ -107,7 +101,9 @@
             .stderr(Stdio::from(log))
             .spawn()
             .expect("the gateway can be started");
-        Gateway { child, listen, config: path }
+        let pid_file = folder.0.join(format!("{name}.pid"));
+        std::fs::write(&pid_file, child.id().to_string()).unwrap();
+        Gateway { child, listen, config: path, pid_file }
     }
 
     /// Waits until PING is answered with PONG.
@@ -152,6 +148,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.pid_file);
     }
 }
 
